--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := model platform backend policy peers daemon cli
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e standins
+
+.PHONY: setup test demo check
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation --config-settings editable_mode=compat $(EDITABLE)
+	touch $@
+
+setup: $(VENV)/installed
+
+test: setup
+	$(BIN)/python -m cowslipvalve_standins.testrun
+
+demo: setup
+	$(BIN)/python -m cowslipvalve_standins.demo
+
+check: setup
+	$(BIN)/pyink --check --quiet packages standins
+	$(BIN)/ruff check --quiet packages standins
+	$(BIN)/mypy packages standins
--- /dev/null
+++ b/packages/backend/cowslipvalve_backend/_client.py
@@ -0,0 +1,209 @@
+"""Client of one backend server."""
+
+from typing import Any, TypeVar
+
+import aiohttp
+
+import cowslipvalve_model as model
+
+_T = TypeVar("_T")
+
+_HTTP_OK = 200
+_STATE_TIMEOUT_MS = 1_000
+_CANCEL_TIMEOUT_MS = 500
+_KEEP_ALIVE_S = 30
+
+
+class ServerClient:
+    """Sends requests to one server over a bounded set of connections.
+
+    Every failure is one of three kinds. NotRunError: no byte of the request
+    reached the server. CrashedError: the connection was lost while the server
+    had the request. UnknownOutcomeError: any other missing or wrong answer.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, name: str, address: str
+    ) -> None:
+        self._session = session
+        self._name = name
+        self._url = f"http://{address}"
+        self.connections_opened = 0
+
+    async def query(
+        self, batch: model.ServerBatch, timeout_ms: float
+    ) -> model.ServerReply:
+        """Runs a batch of shard queries in one slot of the server."""
+        reply = await self._post("/query", batch, timeout_ms, model.ServerReply)
+        return _check_reply(batch, reply)
+
+    async def order(
+        self, order: model.ServerOrder, timeout_ms: float
+    ) -> model.ServerOrderReply:
+        """Runs an order, over a connection on which nothing ran before.
+
+        A kept connection may be closed by the server while the order is on its
+        way, which would leave the outcome unknown for no need.
+        """
+        reply = await self._post(
+            "/order",
+            order,
+            timeout_ms,
+            model.ServerOrderReply,
+            headers={"Connection": "close"},
+        )
+        if (reply.request_id, reply.attempt_id) != (
+            order.request_id,
+            order.attempt_id,
+        ):
+            raise model.UnknownOutcomeError(
+                "the server answered another order",
+                step="check-order-echo",
+                peer=self._name,
+            )
+        return reply
+
+    async def read_state(self) -> model.ServerState:
+        """Returns what the server says of itself."""
+        timeout = aiohttp.ClientTimeout(
+            total=model.to_seconds(_STATE_TIMEOUT_MS)
+        )
+        try:
+            async with self._session.get(
+                self._url + "/state", timeout=timeout
+            ) as response:
+                return model.decode(model.ServerState, await response.read())
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            model.InputError,
+        ) as error:
+            raise model.NotRunError(
+                f"the server's state could not be read: {error!r}",
+                reason=model.Reason.UNREACHABLE,
+                step="read-state",
+                peer=self._name,
+            ) from error
+
+    async def cancel(self, attempt_ids: tuple[str, ...]) -> None:
+        """Asks the server to stop attempts; a failure changes nothing."""
+        timeout = aiohttp.ClientTimeout(
+            total=model.to_seconds(_CANCEL_TIMEOUT_MS)
+        )
+        body = model.encode(model.CancelRequest(attempt_ids))
+        try:
+            async with self._session.post(
+                self._url + "/cancel", data=body, timeout=timeout
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def _post(
+        self,
+        path: str,
+        message: Any,
+        timeout_ms: float,
+        kind: type[_T],
+        headers: dict[str, str] | None = None,
+    ) -> _T:
+        timeout = aiohttp.ClientTimeout(total=model.to_seconds(timeout_ms))
+        step = path[1:]
+        try:
+            async with self._session.post(
+                self._url + path,
+                data=model.encode(message),
+                timeout=timeout,
+                headers=headers,
+            ) as response:
+                text = await response.read()
+                if response.status != _HTTP_OK:
+                    response.close()
+                    raise self._unknown(
+                        step, f"status {response.status}: {text[:100]!r}"
+                    )
+                try:
+                    return model.decode(kind, text)
+                except model.InputError as error:
+                    response.close()
+                    raise self._unknown(step, error) from error
+        except aiohttp.ClientConnectorError as error:
+            raise model.NotRunError(
+                f"the server took no connection: {error!r}",
+                reason=model.Reason.UNREACHABLE,
+                step=step,
+                peer=self._name,
+            ) from error
+        except TimeoutError as error:
+            raise self._unknown(step, "the deadline passed") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise model.CrashedError(
+                f"the connection was lost: {error!r}",
+                step=step,
+                peer=self._name,
+            ) from error
+
+    def _unknown(self, step: str, cause: object) -> model.UnknownOutcomeError:
+        return model.UnknownOutcomeError(
+            f"no usable answer: {cause}", step=step, peer=self._name
+        )
+
+
+def _is_echo(query: model.ShardQuery, answer: model.ShardAnswer) -> bool:
+    return (
+        answer.request_id == query.request_id
+        and answer.snapshot == query.snapshot
+        and answer.index == query.index
+        and answer.hit_count == len(answer.hits)
+        and all(hit.shard == query.index for hit in answer.hits)
+    )
+
+
+def _check_reply(
+    batch: model.ServerBatch, reply: model.ServerReply
+) -> model.ServerReply:
+    """Replaces each answer that is not the answer to its query.
+
+    The returned reply has one answer per query, in the order of the queries.
+    """
+    found = {answer.attempt_id: answer for answer in reply.answers}
+    checked = []
+    for query in batch.queries:
+        answer = found.get(query.attempt_id)
+        if answer is None or not _is_echo(query, answer):
+            answer = model.ShardAnswer(
+                query.request_id,
+                query.attempt_id,
+                query.snapshot,
+                query.index,
+                model.Outcome.UNKNOWN,
+                model.Reason.MISMATCH,
+            )
+        checked.append(answer)
+    return model.ServerReply(reply.boot_id, tuple(checked))
+
+
+def create_server_client(
+    name: str, address: str, max_connections: int
+) -> ServerClient:
+    """Returns a client that opens at most the given connections."""
+    trace = aiohttp.TraceConfig()
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=max_connections, keepalive_timeout=_KEEP_ALIVE_S
+        ),
+        trace_configs=[trace],
+    )
+    client = ServerClient(session, name, address)
+
+    async def count_connection(*_: Any) -> None:
+        client.connections_opened += 1
+
+    trace.on_connection_create_end.append(count_connection)
+    trace.freeze()
+    return client
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_callerapi.py
@@ -0,0 +1,188 @@
+"""The HTTP interface for callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from aiohttp import web
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _entries
+from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _orders
+from cowslipvalve_daemon import _settings
+
+_T = TypeVar("_T")
+
+_JSON = "application/json"
+_HTTP_BAD_REQUEST = 400
+_HTTP_TOO_LARGE = 413
+_HTTP_UNAVAILABLE = 503
+_HTTP_UNKNOWN = 504
+_STATUS_OF_OUTCOME = {
+    model.Outcome.ANSWERED: 200,
+    model.Outcome.NOT_RUN: _HTTP_UNAVAILABLE,
+    model.Outcome.UNKNOWN: _HTTP_UNKNOWN,
+}
+
+
+class CallerApi:
+    """Handles callers' requests and counts those that are running."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        entry: _entries.Entry,
+        orders: _orders.Orders,
+        metrics: _metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._entry = entry
+        self._orders = orders
+        self._metrics = metrics
+        self.running = 0
+        self.is_closed = False
+
+    def create_app(self) -> web.Application:
+        """Returns the application with all routes."""
+        app = web.Application(
+            client_max_size=self._settings.limits.max_body_bytes
+        )
+        app.router.add_post("/v1/searches/{name}/query", self._query)
+        app.router.add_post("/v1/searches/{name}/tickets", self._ticket)
+        app.router.add_post("/v1/searches/{name}/orders", self._order)
+        return app
+
+    async def _query(self, request: web.Request) -> web.Response:
+        async def run(request_id: str) -> Any:
+            body = await _read(request, model.SearchRequest)
+            return await self._entry.run(
+                request.match_info["name"], body, request_id
+            )
+
+        return await self._handle(request, run)
+
+    async def _ticket(self, request: web.Request) -> web.Response:
+        async def run(request_id: str) -> Any:
+            return self._orders.issue_ticket(request.match_info["name"])
+
+        return await self._handle(request, run)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        async def run(request_id: str) -> Any:
+            body = await _read(request, model.OrderRequest)
+            # An order that has started goes on when its caller is gone.
+            return await asyncio.shield(
+                self._orders.run(request.match_info["name"], body, request_id)
+            )
+
+        return await self._handle(request, run)
+
+    async def _handle(
+        self, request: web.Request, run: Callable[[str], Awaitable[Any]]
+    ) -> web.Response:
+        request_id = _entries.create_request_id(self._settings.host)
+        self.running += 1
+        try:
+            self._check_load()
+            answer = await run(request_id)
+        except model.CowslipvalveError as error:
+            answer = _create_failure(request_id, error)
+        except web.HTTPRequestEntityTooLarge:
+            answer = _create_too_large(request_id, self._settings)
+        finally:
+            self.running -= 1
+        response = _respond(answer)
+        self._metrics.requests.add(
+            1,
+            {
+                "search": request.match_info["name"],
+                "status": str(response.status),
+            },
+        )
+        return response
+
+    def _check_load(self) -> None:
+        if self.is_closed:
+            raise model.NotRunError(
+                "this host is stopping; send the request to another one",
+                reason=model.Reason.STOPPING,
+                step="accept-request",
+            )
+        if self.running > self._settings.limits.max_requests:
+            raise model.NotRunError(
+                "this host runs too many requests; send it again later",
+                reason=model.Reason.QUEUE_FULL,
+                step="accept-request",
+            )
+
+
+async def _read(request: web.Request, kind: type[_T]) -> _T:
+    text = await request.read()
+    try:
+        return model.check_plain(kind, model.decode_plain(text))
+    except model.InputError as error:
+        raise model.RequestError(str(error), step="read-request") from error
+
+
+def _respond(answer: Any) -> web.Response:
+    return web.Response(
+        body=model.encode(answer),
+        status=_choose_status(answer),
+        content_type=_JSON,
+    )
+
+
+def _choose_status(answer: Any) -> int:
+    if isinstance(answer, model.Failure):
+        if answer.reason in (
+            model.Reason.BAD_REQUEST,
+            model.Reason.UNKNOWN_SEARCH,
+        ):
+            return _HTTP_BAD_REQUEST
+        if answer.reason is model.Reason.TOO_LARGE:
+            return _HTTP_TOO_LARGE
+    if isinstance(answer, model.Ticket):
+        return _STATUS_OF_OUTCOME[model.Outcome.ANSWERED]
+    return _STATUS_OF_OUTCOME[answer.outcome]
+
+
+def _create_failure(
+    request_id: str, error: model.CowslipvalveError
+) -> model.Failure:
+    outcome, reason = model.Outcome.NOT_RUN, model.Reason.BAD_REQUEST
+    if isinstance(error, model.NotRunError):
+        reason = model.Reason(error.reason)
+    elif not isinstance(error, model.RequestError):
+        outcome, reason = model.Outcome.UNKNOWN, model.Reason.MISMATCH
+    return model.Failure(
+        request_id=request_id,
+        outcome=outcome,
+        reason=reason,
+        message=str(error),
+        step=error.step,
+        peer=error.peer,
+        retry=reason in model.RETRYABLE,
+    )
+
+
+def _create_too_large(
+    request_id: str, settings: _settings.Settings
+) -> model.Failure:
+    return model.Failure(
+        request_id=request_id,
+        outcome=model.Outcome.NOT_RUN,
+        reason=model.Reason.TOO_LARGE,
+        message=f"send at most {settings.limits.max_body_bytes} bytes",
+        step="read-request",
+    )
+
+
+def create_caller_api(
+    settings: _settings.Settings,
+    entry: _entries.Entry,
+    orders: _orders.Orders,
+    metrics: _metrics.Metrics,
+) -> CallerApi:
+    """Returns the callers' interface of this host."""
+    return CallerApi(settings, entry, orders, metrics)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_compilers.py
@@ -0,0 +1,137 @@
+"""Compiles operators' resources into the next configuration."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_daemon import _configurations
+
+
+@attrs.frozen
+class Rejection:
+    """A resource that is not accepted; its last accepted spec stays."""
+
+    # The kind of the resource.
+    kind: str
+    # The name of the resource.
+    name: str
+    # The generation that is rejected.
+    generation: int
+    # What is wrong and what to write.
+    message: str
+
+
+@attrs.frozen
+class Compilation:
+    """What became of a set of resources."""
+
+    # The next configuration, of the old number if nothing changed.
+    configuration: model.Configuration
+    # One line per changed resource.
+    changes: tuple[model.ConfigurationChange, ...]
+    # The resources that were not accepted.
+    rejections: tuple[Rejection, ...]
+
+
+def check_resource(item: platform.StoredObject) -> model.Resource:
+    """Builds a typed resource.
+
+    Raises:
+      InputError: The spec has bad fields, which the message names.
+    """
+    kind = model.KINDS.get(item.kind)
+    if kind is None:
+        raise model.InputError(
+            f"kind {item.kind!r} is not known; write one of"
+            f" {', '.join(model.KINDS)}",
+            step="check-kind",
+        )
+    plain = {"metadata": model.to_plain(item.metadata), "spec": item.spec}
+    return model.check_plain(kind, plain)
+
+
+def compile_configuration(
+    old: model.Configuration,
+    items: Iterable[platform.StoredObject],
+    now_ms: int,
+) -> Compilation:
+    """Returns the configuration that follows from the stored resources."""
+    accepted: dict[str, dict[str, Any]] = {kind: {} for kind in model.KINDS}
+    rejections = []
+    for item in items:
+        name = item.metadata.name
+        try:
+            resource = check_resource(item)
+            accepted[item.kind][name] = _configurations.accept_resource(
+                resource, old.number + 1
+            )
+        except model.InputError as error:
+            rejections.append(
+                Rejection(item.kind, name, item.metadata.generation, str(error))
+            )
+            last = _resources_of(old, item.kind).get(name)
+            if last is not None:
+                accepted[item.kind][name] = last
+    _keep_unchanged(old, accepted)
+    changes = _compute_changes(old, accepted, now_ms)
+    if not changes:
+        return Compilation(old, (), tuple(rejections))
+    configuration = model.Configuration(
+        number=old.number + 1,
+        searches=accepted["Search"],
+        servers=accepted["BackendServer"],
+        domains=accepted["FailureDomain"],
+    )
+    return Compilation(configuration, changes, tuple(rejections))
+
+
+def _resources_of(
+    configuration: model.Configuration, kind: str
+) -> Mapping[str, model.Resource]:
+    by_kind: Mapping[str, Mapping[str, model.Resource]] = {
+        "Search": configuration.searches,
+        "BackendServer": configuration.servers,
+        "FailureDomain": configuration.domains,
+    }
+    return by_kind.get(kind, {})
+
+
+def _keep_unchanged(
+    old: model.Configuration, accepted: dict[str, dict[str, Any]]
+) -> None:
+    """Takes the old value of a resource whose spec is the same.
+
+    Its status and annotations change its version without changing its spec.
+    """
+    for kind, resources in accepted.items():
+        for name, last in _resources_of(old, kind).items():
+            new = resources.get(name)
+            if new is not None and new.spec == last.spec:
+                resources[name] = last
+
+
+def _compute_changes(
+    old: model.Configuration, accepted: dict[str, dict[str, Any]], now_ms: int
+) -> tuple[model.ConfigurationChange, ...]:
+    changes = []
+    for kind, resources in accepted.items():
+        before = _resources_of(old, kind)
+        for name in sorted(before.keys() | resources.keys()):
+            last, new = before.get(name), resources.get(name)
+            if last == new:
+                continue
+            changes.append(
+                model.ConfigurationChange(
+                    number=old.number + 1,
+                    kind=kind,
+                    name=name,
+                    operator=new.metadata.operator if new else "unknown",
+                    before=model.encode(last.spec).decode() if last else "",
+                    after=model.encode(new.spec).decode() if new else "",
+                    accepted_ms=now_ms,
+                )
+            )
+    return tuple(changes)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_configurations.py
@@ -0,0 +1,132 @@
+"""The configuration in force on this host."""
+
+import collections
+import logging
+from collections.abc import Callable
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _logs
+import cowslipvalve_peers as peers
+
+_LOGGER = logging.getLogger(__name__)
+_KEPT_DELTAS = 100
+
+
+class ConfigurationHolder:
+    """Holds the accepted configuration and only moves to higher numbers.
+
+    Urgent placements that hosts have read from the platform count before the
+    configuration that holds them is accepted.
+    """
+
+    def __init__(self, table: peers.RecordTable) -> None:
+        self._table = table
+        self.current = model.Configuration()
+        self._deltas: collections.deque[model.ConfigurationDelta] = (
+            collections.deque(maxlen=_KEPT_DELTAS)
+        )
+        self._listeners: list[Callable[[], None]] = []
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each change."""
+        self._listeners.append(listener)
+
+    def install(self, delta: model.ConfigurationDelta) -> bool:
+        """Moves to the delta's number; returns whether that was possible."""
+        old = self.current
+        new = model.apply_delta(old, delta)
+        if new.number == old.number:
+            return False
+        self.current = new
+        if old.number:
+            self._deltas.append(model.compute_delta(old, new))
+        _logs.log_event(
+            _LOGGER,
+            "configuration-installed",
+            number=new.number,
+            old=old.number,
+        )
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def delta_since(self, number: int) -> model.ConfigurationDelta:
+        """Returns what a peer at a number lacks, complete if it is far back."""
+        for delta in reversed(self._deltas):
+            if delta.base == number and delta.number == self.current.number:
+                return delta
+        return model.complete_delta(self.current)
+
+    def is_domain_out(self, name: str) -> bool:
+        """Whether operators let no work go to a failure domain."""
+        domain = self.current.domains.get(name)
+        if domain is None:
+            return self._is_placed_out("FailureDomain", name, 0, False)
+        return self._is_placed_out(
+            "FailureDomain",
+            name,
+            domain.metadata.resource_version,
+            domain.spec.placement is model.Placement.OUT,
+        )
+
+    def is_server_out(self, server: model.BackendServer) -> bool:
+        """Whether operators let no work go to a server."""
+        if self.is_domain_out(server.spec.failure_domain):
+            return True
+        return self.is_placed_out(server)
+
+    def is_placed_out(self, server: model.BackendServer) -> bool:
+        """Whether operators have taken out this very server."""
+        known = self.current.servers.get(server.metadata.name)
+        server = known or server
+        return self._is_placed_out(
+            "BackendServer",
+            server.metadata.name,
+            server.metadata.resource_version,
+            server.spec.placement is model.Placement.OUT,
+        )
+
+    def _is_placed_out(
+        self, kind: str, name: str, version: int, out: bool
+    ) -> bool:
+        entry = self._table.get((kind, name))
+        if entry is None or entry.placement is None:
+            return out
+        if entry.placement.resource_version <= version:
+            return out
+        return entry.placement.out
+
+    def announce_placement(
+        self, kind: str, metadata: model.Metadata, out: bool
+    ) -> None:
+        """Tells all hosts of an operator's change before it is accepted."""
+        entry = self._table.get((kind, metadata.name))
+        if entry is not None and entry.version >= metadata.resource_version:
+            return
+        record = model.PlacementRecord(
+            kind=kind,
+            name=metadata.name,
+            resource_version=metadata.resource_version,
+            out=out,
+        )
+        self._table.merge(
+            (model.Entry(metadata.resource_version, placement=record),), ""
+        )
+
+
+def create_configuration_holder(
+    table: peers.RecordTable,
+) -> ConfigurationHolder:
+    """Returns a holder without a configuration."""
+    return ConfigurationHolder(table)
+
+
+def accept_resource(resource: model.Resource, number: int) -> model.Resource:
+    """Returns the resource as a configuration keeps it.
+
+    Of the status only the number stays at which the spec was accepted.
+    """
+    status = type(resource.status)(accepted_number=number)
+    return attrs.evolve(resource, status=status)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_entries.py
@@ -0,0 +1,281 @@
+"""Answers callers' read requests."""
+
+import hashlib
+import logging
+import time
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _quarantines
+from cowslipvalve_daemon import _querystreams
+from cowslipvalve_daemon import _replicas
+from cowslipvalve_daemon import _searchruns
+
+_LOGGER = logging.getLogger(__name__)
+_DEFAULT_LATENCY_MS = 50.0
+
+
+@attrs.frozen
+class _SearchPolicy:
+    """What the requests of one search share."""
+
+    extra_load: float
+    budget: policy.ExtraLoadBudget
+    latencies: policy.LatencyWindow
+
+
+def shard_of(item: str, count: int) -> int:
+    """Returns the number of the shard that holds an item."""
+    digest = hashlib.blake2b(item.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % count
+
+
+class Entry:
+    """Runs read requests; one for each host."""
+
+    def __init__(
+        self,
+        configurations: _configurations.ConfigurationHolder,
+        directory: _replicas.ReplicaDirectory,
+        streams: _querystreams.QueryStreams,
+        quarantine: _quarantines.Quarantine,
+        metrics: _metrics.Metrics,
+        clock: model.Clock,
+    ) -> None:
+        self._configurations = configurations
+        self._directory = directory
+        self._streams = streams
+        self._quarantine = quarantine
+        self._metrics = metrics
+        self._clock = clock
+        self._policies: dict[str, _SearchPolicy] = {}
+
+    def find_search(self, name: str, kind: model.SearchKind) -> model.Search:
+        """Returns the search of a request.
+
+        Raises:
+          NotRunError: This host has no configuration yet.
+          RequestError: There is no such search of that kind.
+        """
+        if self._configurations.current.number == 0:
+            raise model.NotRunError(
+                "this host has no configuration yet; send the request again",
+                reason=model.Reason.NO_CONFIGURATION,
+                step="find-search",
+            )
+        search = self._configurations.current.searches.get(name)
+        if search is None or search.spec.kind is not kind:
+            raise model.RequestError(
+                f"there is no search {name!r} of kind {kind}",
+                step="find-search",
+            )
+        return search
+
+    async def run(
+        self, name: str, request: model.SearchRequest, request_id: str
+    ) -> model.SearchAnswer | model.Failure:
+        """Returns the answer to a request, or why there is none.
+
+        Raises:
+          NotRunError: Nothing was sent to any server.
+          RequestError: The request is malformed.
+        """
+        search = self.find_search(name, model.SearchKind.READ)
+        start_ms = self._clock.now_ms()
+        deadline_ms = start_ms + choose_deadline_ms(
+            search.spec, request.deadline_ms
+        )
+        answer = await self._run_on_snapshots(
+            search, request, request_id, deadline_ms
+        )
+        self._count(name, answer, self._clock.now_ms() - start_ms)
+        return answer
+
+    async def _run_on_snapshots(
+        self,
+        search: model.Search,
+        request: model.SearchRequest,
+        request_id: str,
+        deadline_ms: float,
+    ) -> model.SearchAnswer | model.Failure:
+        """Runs on one snapshot, and once more if that is gone everywhere."""
+        name = search.metadata.name
+        view = policy.choose_snapshot(self._directory.views(name))
+        if view is None:
+            raise model.NotRunError(
+                "no server holds a shard of this search; send it again later",
+                reason=model.Reason.NO_SERVER,
+                step="choose-snapshot",
+            )
+        run = await self._run_once(
+            search, view, request, request_id, deadline_ms
+        )
+        if run.is_snapshot_gone and self._clock.now_ms() < deadline_ms:
+            newer = policy.choose_snapshot(
+                self._directory.views(name), newer_than=view.snapshot.number
+            )
+            if newer is not None:
+                view = newer
+                run = await self._run_once(
+                    search, newer, request, request_id, deadline_ms
+                )
+        return _create_answer(search, view, run, request_id)
+
+    async def _run_once(
+        self,
+        search: model.Search,
+        view: policy.SnapshotView,
+        request: model.SearchRequest,
+        request_id: str,
+        deadline_ms: float,
+    ) -> _searchruns.SearchRun:
+        name = search.metadata.name
+        fingerprint = policy.compute_fingerprint(
+            name, [view.snapshot.number, request.query]
+        )
+        if self._quarantine.is_proven(fingerprint):
+            raise model.NotRunError(
+                "this request has crashed the servers that ran it; change it",
+                reason=model.Reason.QUARANTINED,
+                step="check-quarantine",
+            )
+        run = _searchruns.SearchRun(
+            self._create_tools(search),
+            search,
+            view,
+            _choose_indices(view, request),
+            request_id,
+            request.query,
+            fingerprint,
+            deadline_ms,
+        )
+        await run.run()
+        return run
+
+    def _create_tools(self, search: model.Search) -> _searchruns.SearchTools:
+        name = search.metadata.name
+        shared = self._policies.get(name)
+        if shared is None or shared.extra_load != search.spec.extra_load:
+            shared = _SearchPolicy(
+                search.spec.extra_load,
+                policy.create_budget(search.spec.extra_load),
+                policy.create_latency_window(_DEFAULT_LATENCY_MS),
+            )
+            self._policies[name] = shared
+
+        def count_attempts(count: int, is_extra: bool) -> None:
+            labels = {"search": name, "extra": str(is_extra)}
+            self._metrics.attempts.add(count, labels)
+
+        def count_failure(reason: model.Reason) -> None:
+            self._metrics.failures.add(1, {"reason": str(reason)})
+
+        return _searchruns.SearchTools(
+            clock=self._clock,
+            directory=self._directory,
+            streams=self._streams,
+            quarantine=self._quarantine,
+            budget=shared.budget,
+            latencies=shared.latencies,
+            count_attempts=count_attempts,
+            count_failure=count_failure,
+        )
+
+    def _count(
+        self,
+        name: str,
+        answer: model.SearchAnswer | model.Failure,
+        latency_ms: float,
+    ) -> None:
+        self._metrics.latency.record(latency_ms, {"search": name})
+        if isinstance(answer, model.SearchAnswer):
+            missing = len(answer.coverage.missing)
+            self._metrics.missing_shards.add(missing, {"search": name})
+        _logs.log_event(
+            _LOGGER,
+            "search",
+            logging.DEBUG,
+            request=answer.request_id,
+            search=name,
+            outcome=answer.outcome,
+            reason=answer.reason,
+            took_ms=round(latency_ms, 1),
+        )
+
+
+def choose_deadline_ms(spec: model.SearchSpec, wanted_ms: int | None) -> int:
+    """Returns the time that a request gets, in ms."""
+    if wanted_ms is None:
+        return spec.deadline_ms
+    return min(wanted_ms, spec.max_deadline_ms)
+
+
+def create_request_id(host: str) -> str:
+    """Returns an id that no other request has."""
+    return f"{host}-{time.time_ns():x}"
+
+
+def _choose_indices(
+    view: policy.SnapshotView, request: model.SearchRequest
+) -> tuple[int, ...]:
+    """Returns the numbers of the shards that a request needs."""
+    count = view.snapshot.count
+    if not request.items:
+        return tuple(range(count))
+    return tuple(sorted({shard_of(item, count) for item in request.items}))
+
+
+def _create_answer(
+    search: model.Search,
+    view: policy.SnapshotView,
+    run: _searchruns.SearchRun,
+    request_id: str,
+) -> model.SearchAnswer | model.Failure:
+    coverage = run.coverage
+    if coverage.answered and coverage.share >= search.spec.min_coverage:
+        return model.SearchAnswer(
+            request_id=request_id,
+            outcome=model.Outcome.ANSWERED,
+            search=search.metadata.name,
+            snapshot=view.snapshot.number,
+            coverage=coverage,
+            total_hits=run.total_hits,
+            hits=run.hits,
+            reason=run.reason,
+        )
+    reason = run.reason
+    if run.is_quarantined:
+        reason = model.Reason.QUARANTINED
+    elif coverage.answered:
+        reason = model.Reason.LOW_COVERAGE
+    outcome = model.Outcome.NOT_RUN
+    if run.may_have_run:
+        outcome = model.Outcome.UNKNOWN
+    return model.Failure(
+        request_id=request_id,
+        outcome=outcome,
+        reason=reason,
+        message=(
+            f"{coverage.answered} of {coverage.total} shards answered;"
+            f" shards {list(coverage.missing)[:20]} did not"
+        ),
+        step="gather-shards",
+        retry=reason in model.RETRYABLE,
+    )
+
+
+def create_entry(
+    configurations: _configurations.ConfigurationHolder,
+    directory: _replicas.ReplicaDirectory,
+    streams: _querystreams.QueryStreams,
+    quarantine: _quarantines.Quarantine,
+    metrics: _metrics.Metrics,
+    clock: model.Clock,
+) -> Entry:
+    """Returns the entry of this host."""
+    return Entry(configurations, directory, streams, quarantine, metrics, clock)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -0,0 +1,233 @@
+"""The servers that this host is home to."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+
+import mode
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _jobs
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _partials
+from cowslipvalve_daemon import _serverworkers
+
+_LOGGER = logging.getLogger(__name__)
+_RECONCILE_MS = 200
+_FLUSH_MS = 4  # Results wait for each other no longer than this.
+
+
+class HomeService(mode.Service):
+    """Keeps a worker for each server whose home this host is or was."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        memberships: _memberships.Memberships,
+        configurations: _configurations.ConfigurationHolder,
+        metrics: _metrics.Metrics,
+        clock: model.Clock,
+    ) -> None:
+        super().__init__()
+        self._failure_domain = failure_domain
+        self._memberships = memberships
+        self._configurations = configurations
+        self._metrics = metrics
+        self._clock = clock
+        self._workers: dict[str, _serverworkers.ServerWorker] = {}
+        self._collectors: dict[tuple[str, str], _partials.QueryCollector] = {}
+        self._attempts: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._changed = asyncio.Event()
+        self._boot = uuid.uuid4().hex[:8]
+        self._number = 0
+        memberships.add_listener(self._changed.set)
+        configurations.add_listener(self._changed.set)
+
+    def holding(self) -> tuple[str, ...]:
+        """Returns servers with work of this host that are not its any more."""
+        return tuple(
+            name
+            for name, worker in self._workers.items()
+            if worker.is_busy and not self._memberships.is_first_for(name)
+        )
+
+    async def run_query(
+        self,
+        sender: str,
+        query: model.HomeQuery,
+        emit: Callable[[model.PartialAnswer], None],
+    ) -> None:
+        """Runs the shard queries of one caller's query.
+
+        Args:
+          sender: The host whose query it is.
+          query: The query, already free of cancelled targets.
+          emit: Takes partial answers as they get ready.
+        """
+        key = (sender, query.query_id)
+        collector = _partials.create_query_collector(query, emit)
+        self._collectors[key] = collector
+        deadline_ms = self._clock.now_ms() + query.remaining_ms
+        attempts = []
+        for target in query.targets:
+            worker = self._workers.get(target.server)
+            for index in target.indices:
+                job = self._create_job(
+                    collector, target.server, index, deadline_ms
+                )
+                attempts.append(job.query.attempt_id)
+                if worker is None:
+                    job.finish(model.Outcome.NOT_RUN, model.Reason.NOT_HOME)
+                else:
+                    await worker.enqueue(job)
+        self._attempts[key] = tuple(attempts)
+        self.add_future(self._flush(key, collector, deadline_ms))
+
+    async def run_order(self, order: model.HomeOrder) -> model.HomeOrderReply:
+        """Runs an order on its server, if this host is the home."""
+        worker = self._workers.get(order.server)
+        if worker is None:
+            return model.HomeOrderReply(
+                model.Outcome.NOT_RUN, model.Reason.NOT_HOME
+            )
+        job = _jobs.OrderJob(
+            model.ServerOrder(
+                order.request_id,
+                order.attempt_id,
+                order.search,
+                order.body,
+                order.remaining_ms,
+            ),
+            order.fingerprint,
+            self._clock.now_ms() + order.remaining_ms,
+        )
+        return await worker.run_order(job)
+
+    async def cancel(self, sender: str, query_id: str) -> None:
+        """Stops a query whose answer nobody waits for any more."""
+        key = (sender, query_id)
+        collector = self._collectors.pop(key, None)
+        attempts = self._attempts.pop(key, ())
+        if collector is None or collector.is_done:
+            return
+        collector.cancelled = True
+        for target in collector.query.targets:
+            worker = self._workers.get(target.server)
+            if worker is not None:
+                worker.drop_cancelled()
+                await worker.cancel(attempts)
+
+    async def cancel_all(self, sender: str) -> None:
+        """Stops all queries of a host whose connection was lost."""
+        lost = [key for key in self._collectors if key[0] == sender]
+        for key in lost:
+            await self.cancel(*key)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is running on any server."""
+        return not any(worker.is_busy for worker in self._workers.values())
+
+    @mode.Service.task
+    async def _reconcile(self) -> None:
+        while not self.should_stop:
+            await self._reconcile_once()
+            try:
+                await asyncio.wait_for(
+                    self._changed.wait(), model.to_seconds(_RECONCILE_MS)
+                )
+            except TimeoutError:
+                pass
+            self._changed.clear()
+
+    async def _reconcile_once(self) -> None:
+        wanted = {
+            name: server
+            for name, server in self._configurations.current.servers.items()
+            if server.spec.failure_domain == self._failure_domain
+            and self._memberships.is_first_for(name)
+        }
+        for name, worker in list(self._workers.items()):
+            server = wanted.get(name)
+            if server is not None and server.spec == worker.server.spec:
+                continue
+            await worker.lose_home()
+            if not worker.is_busy:
+                await self._remove(name, worker)
+        for name, server in wanted.items():
+            if name not in self._workers:
+                await self._add(server)
+
+    async def _add(self, server: model.BackendServer) -> None:
+        worker = _serverworkers.create_server_worker(
+            server,
+            self._memberships,
+            self._configurations,
+            self._metrics,
+            self._clock,
+        )
+        self._workers[worker.name] = worker
+        await self.add_runtime_dependency(worker)
+        self._metrics.homes.add(1)
+        _logs.log_event(_LOGGER, "home-taken", server=worker.name)
+
+    async def _remove(
+        self, name: str, worker: _serverworkers.ServerWorker
+    ) -> None:
+        del self._workers[name]
+        self.remove_dependency(worker)
+        await worker.stop()
+        self._metrics.homes.add(-1)
+        _logs.log_event(_LOGGER, "home-released", server=name)
+
+    def _create_job(
+        self,
+        collector: _partials.QueryCollector,
+        server: str,
+        index: int,
+        deadline_ms: float,
+    ) -> _jobs.ShardJob:
+        self._number += 1
+        query = collector.query
+        shard_query = model.ShardQuery(
+            query.request_id,
+            f"{self._memberships.host}-{self._boot}-{self._number}",
+            query.snapshot,
+            index,
+            query.body,
+            query.remaining_ms,
+            query.top_hits,
+        )
+        return _jobs.ShardJob(collector, server, shard_query, deadline_ms)
+
+    async def _flush(
+        self,
+        key: tuple[str, str],
+        collector: _partials.QueryCollector,
+        deadline_ms: float,
+    ) -> None:
+        """Sends results that others of the same query keep waiting."""
+        while not collector.is_done and not collector.cancelled:
+            if self._clock.now_ms() > deadline_ms + _RECONCILE_MS:
+                break
+            await self._clock.sleep_ms(_FLUSH_MS)
+            collector.flush()
+        self._collectors.pop(key, None)
+        self._attempts.pop(key, None)
+
+
+def create_home_service(
+    failure_domain: str,
+    memberships: _memberships.Memberships,
+    configurations: _configurations.ConfigurationHolder,
+    metrics: _metrics.Metrics,
+    clock: model.Clock,
+) -> HomeService:
+    """Returns the homes of this host, none yet."""
+    return HomeService(
+        failure_domain, memberships, configurations, metrics, clock
+    )
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_jobs.py
@@ -0,0 +1,112 @@
+"""Work for one backend server."""
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _partials
+
+
+@attrs.define(eq=False)
+class ShardJob:
+    """One shard query that waits for or runs on a server."""
+
+    # The query and where its result goes.
+    collector: _partials.QueryCollector
+    # The server that is asked.
+    server: str
+    # The shard query as it is sent.
+    query: model.ShardQuery
+    # The time on this host's clock at which the answer is of no use, in ms.
+    deadline_ms: float
+
+    @property
+    def fingerprint(self) -> str:
+        """The name of the query's body."""
+        return self.collector.query.fingerprint
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the job has to run alone."""
+        return self.collector.query.suspect
+
+    def finish(
+        self,
+        outcome: model.Outcome,
+        reason: model.Reason = model.Reason.NONE,
+        total: int = 0,
+        hits: tuple[model.Hit, ...] = (),
+    ) -> None:
+        """Hands on what became of the job."""
+        result = model.ShardResult(
+            self.query.index, self.server, outcome, reason, total
+        )
+        self.collector.add(result, hits)
+
+
+@attrs.define(eq=False)
+class OrderJob:
+    """An order that waits for or runs on a server."""
+
+    # The order as it is sent.
+    order: model.ServerOrder
+    # The name of the order's body.
+    fingerprint: str
+    # The time on this host's clock at which the answer is of no use, in ms.
+    deadline_ms: float
+    # Set by the slot that ran it, or by the queue that refused it.
+    reply: model.HomeOrderReply | None = None
+    # Whether the caller's side has given up before the job was started.
+    cancelled: bool = False
+
+
+class JobQueue:
+    """Jobs of one server in the order in which they came."""
+
+    def __init__(self) -> None:
+        self._jobs: list[ShardJob] = []
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def add(self, job: ShardJob) -> None:
+        """Adds a job at the end."""
+        self._jobs.append(job)
+
+    def drop_cancelled(self) -> None:
+        """Forgets jobs whose answers nobody waits for."""
+        self._jobs = [job for job in self._jobs if not job.collector.cancelled]
+
+    def refuse_expired(self, now_ms: float) -> None:
+        """Refuses the jobs whose deadline has passed."""
+        expired = [job for job in self._jobs if job.deadline_ms <= now_ms]
+        if not expired:
+            return
+        self._jobs = [job for job in self._jobs if job.deadline_ms > now_ms]
+        for job in expired:
+            job.finish(model.Outcome.NOT_RUN, model.Reason.DEADLINE)
+
+    def refuse_all(self, reason: model.Reason) -> None:
+        """Refuses all jobs."""
+        jobs, self._jobs = self._jobs, []
+        for job in jobs:
+            job.finish(model.Outcome.NOT_RUN, reason)
+
+    def next_is_suspect(self) -> bool:
+        """Whether the first job has to run alone."""
+        return bool(self._jobs) and self._jobs[0].is_suspect
+
+    def take(self, count: int) -> list[ShardJob]:
+        """Returns the first jobs, a suspect only by itself."""
+        if self.next_is_suspect():
+            return [self._jobs.pop(0)]
+        taken: list[ShardJob] = []
+        while self._jobs and len(taken) < count:
+            if self._jobs[0].is_suspect:
+                break
+            taken.append(self._jobs.pop(0))
+        return taken
+
+
+def create_job_queue() -> JobQueue:
+    """Returns an empty queue."""
+    return JobQueue()
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_partials.py
@@ -0,0 +1,66 @@
+"""Merges the answers of shards into partial answers."""
+
+import heapq
+from collections.abc import Callable, Iterable
+
+import cowslipvalve_model as model
+
+
+def merge_hits(hits: Iterable[model.Hit], count: int) -> tuple[model.Hit, ...]:
+    """Returns the best hits, best first, in an order that is always the same."""
+    best = heapq.nsmallest(
+        count, hits, key=lambda hit: (-hit.score, hit.shard, hit.id)
+    )
+    return tuple(best)
+
+
+class QueryCollector:
+    """Collects the shard results of one query at its home."""
+
+    def __init__(
+        self,
+        query: model.HomeQuery,
+        emit: Callable[[model.PartialAnswer], None],
+    ) -> None:
+        self.query = query
+        self._emit = emit
+        self._results: list[model.ShardResult] = []
+        self._hits: list[model.Hit] = []
+        self._left = sum(len(target.indices) for target in query.targets)
+        self.cancelled = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every shard has a result."""
+        return self._left == 0
+
+    def add(
+        self, result: model.ShardResult, hits: tuple[model.Hit, ...] = ()
+    ) -> None:
+        """Adds the result of one shard; the last one sends all."""
+        self._left -= 1
+        self._results.append(result)
+        self._hits.extend(hits)
+        if self.is_done:
+            self.flush()
+
+    def flush(self) -> None:
+        """Sends the results that were not sent yet."""
+        if not self._results or self.cancelled:
+            return
+        partial = model.PartialAnswer(
+            self.query.query_id,
+            self.query.snapshot,
+            tuple(self._results),
+            merge_hits(self._hits, self.query.top_hits),
+        )
+        self._results = []
+        self._hits = []
+        self._emit(partial)
+
+
+def create_query_collector(
+    query: model.HomeQuery, emit: Callable[[model.PartialAnswer], None]
+) -> QueryCollector:
+    """Returns a collector that hands partial answers to a function."""
+    return QueryCollector(query, emit)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_peerapi.py
@@ -0,0 +1,196 @@
+"""The HTTP interface for the other hosts."""
+
+import asyncio
+import logging
+from typing import TypeVar
+
+import aiohttp
+from aiohttp import web
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _heartbeats
+from cowslipvalve_daemon import _homes
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _orders
+
+_T = TypeVar("_T")
+
+_LOGGER = logging.getLogger(__name__)
+_JSON = "application/json"
+_MAX_BODY_BYTES = 16 << 20
+_WINDOW_MS = 1  # Partial answers leave at most this long after the last ones.
+
+
+class PeerApi:
+    """Handles heartbeats, configurations, queries and orders of peers."""
+
+    def __init__(
+        self,
+        heartbeats: _heartbeats.HeartbeatService,
+        configurations: _configurations.ConfigurationHolder,
+        homes: _homes.HomeService,
+        orders: _orders.Orders,
+        clock: model.Clock,
+    ) -> None:
+        self._heartbeats = heartbeats
+        self._configurations = configurations
+        self._homes = homes
+        self._orders = orders
+        self._clock = clock
+        self.running_orders = 0
+
+    def create_app(self) -> web.Application:
+        """Returns the application with all routes."""
+        app = web.Application(client_max_size=_MAX_BODY_BYTES)
+        app.router.add_post("/peer/heartbeat", self._heartbeat)
+        app.router.add_get("/peer/configuration", self._configuration)
+        app.router.add_get("/peer/queries", self._queries)
+        app.router.add_post("/peer/order", self._order)
+        app.router.add_post("/peer/forwarded-order", self._forwarded_order)
+        return app
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        message = await _read(request, model.Heartbeat)
+        return _respond(self._heartbeats.answer(message))
+
+    async def _configuration(self, request: web.Request) -> web.Response:
+        since = request.query.get("since", "0")
+        if not since.isdigit():
+            raise web.HTTPBadRequest(text="since is not a number")
+        return _respond(self._configurations.delta_since(int(since)))
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await _read(request, model.HomeOrder)
+        self.running_orders += 1
+        try:
+            reply = await asyncio.shield(self._homes.run_order(order))
+        finally:
+            self.running_orders -= 1
+        return _respond(reply)
+
+    async def _forwarded_order(self, request: web.Request) -> web.Response:
+        order = await _read(request, model.ForwardedOrder)
+        self.running_orders += 1
+        try:
+            answer = await self._run_forwarded(order)
+        finally:
+            self.running_orders -= 1
+        return _respond(answer)
+
+    async def _run_forwarded(
+        self, order: model.ForwardedOrder
+    ) -> model.OrderAnswer:
+        try:
+            return await asyncio.shield(
+                self._orders.run(order.search, order.request, order.request_id)
+            )
+        except model.CowslipvalveError as error:
+            reason = model.Reason.BAD_REQUEST
+            if isinstance(error, model.NotRunError):
+                reason = model.Reason(error.reason)
+            return model.OrderAnswer(
+                request_id=order.request_id,
+                outcome=model.Outcome.NOT_RUN,
+                search=order.search,
+                reason=reason,
+            )
+
+    async def _queries(self, request: web.Request) -> web.WebSocketResponse:
+        socket = web.WebSocketResponse(
+            max_msg_size=_MAX_BODY_BYTES, compress=False
+        )
+        await socket.prepare(request)
+        connection = _QueryConnection(socket, self._homes, self._clock)
+        try:
+            await connection.run()
+        finally:
+            await connection.close()
+        return socket
+
+
+class _QueryConnection:
+    """The connection on which one entry sends its queries."""
+
+    def __init__(
+        self,
+        socket: web.WebSocketResponse,
+        homes: _homes.HomeService,
+        clock: model.Clock,
+    ) -> None:
+        self._socket = socket
+        self._homes = homes
+        self._clock = clock
+        self._ready: list[model.PartialAnswer] = []
+        self._wake = asyncio.Event()
+        self._sender = ""
+
+    async def run(self) -> None:
+        """Takes queries until the connection ends."""
+        sending = asyncio.ensure_future(self._send_partials())
+        try:
+            async for message in self._socket:
+                if message.type is aiohttp.WSMsgType.BINARY:
+                    await self._take(message.data)
+        finally:
+            sending.cancel()
+
+    async def close(self) -> None:
+        """Stops the queries of an entry that is gone."""
+        await self._homes.cancel_all(self._sender)
+
+    async def _take(self, text: bytes) -> None:
+        try:
+            batch = model.decode(model.QueryBatch, text)
+        except model.InputError as error:
+            _logs.log_event(
+                _LOGGER,
+                "bad-query-batch",
+                logging.WARNING,
+                step="decode-queries",
+                peer=self._sender,
+                error=error,
+            )
+            await self._socket.close()
+            return
+        self._sender = batch.sender
+        for query_id in batch.cancelled:
+            await self._homes.cancel(batch.sender, query_id)
+        for query in batch.queries:
+            await self._homes.run_query(batch.sender, query, self._emit)
+
+    def _emit(self, partial: model.PartialAnswer) -> None:
+        self._ready.append(partial)
+        self._wake.set()
+
+    async def _send_partials(self) -> None:
+        while not self._socket.closed:
+            await self._wake.wait()
+            self._wake.clear()
+            ready, self._ready = self._ready, []
+            await self._socket.send_bytes(
+                model.encode(model.PartialBatch(tuple(ready)))
+            )
+            await self._clock.sleep_ms(_WINDOW_MS)
+
+
+async def _read(request: web.Request, kind: type[_T]) -> _T:
+    try:
+        return model.decode(kind, await request.read())
+    except model.InputError as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
+
+
+def _respond(message: object) -> web.Response:
+    return web.Response(body=model.encode(message), content_type=_JSON)
+
+
+def create_peer_api(
+    heartbeats: _heartbeats.HeartbeatService,
+    configurations: _configurations.ConfigurationHolder,
+    homes: _homes.HomeService,
+    orders: _orders.Orders,
+    clock: model.Clock,
+) -> PeerApi:
+    """Returns the peers' interface of this host."""
+    return PeerApi(heartbeats, configurations, homes, orders, clock)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_quarantines.py
@@ -0,0 +1,83 @@
+"""Request bodies that crash the servers that run them."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _metrics
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Quarantine:
+    """Knows which bodies are harmless, suspect or proven to crash servers."""
+
+    def __init__(
+        self,
+        table: peers.RecordTable,
+        metrics: _metrics.Metrics,
+        push: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._table = table
+        self._metrics = metrics
+        self._push = push
+        self._known = policy.create_known_bodies()
+        self._crashes = policy.create_crash_record()
+
+    def is_proven(self, fingerprint: str) -> bool:
+        """Whether the body is refused."""
+        return self._table.get(("quarantine", fingerprint)) is not None
+
+    def is_known(self, fingerprint: str) -> bool:
+        """Whether the body has been answered without harm."""
+        return fingerprint in self._known
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether a connection was lost while the body was running."""
+        return bool(self._crashes.get(fingerprint).servers)
+
+    def add_answer(self, fingerprint: str) -> None:
+        """Notes that a server has answered the body."""
+        self._known.add(fingerprint)
+        self._crashes.clear(fingerprint)
+
+    def add_loss(self, fingerprint: str, server: str, alone: bool) -> bool:
+        """Notes a lost connection; returns whether the body is now proven."""
+        self._known.discard(fingerprint)
+        return self._crashes.add(fingerprint, server, alone).is_proven
+
+    async def prove(self, search: str, fingerprint: str) -> None:
+        """Makes all hosts refuse the body, before its caller is answered."""
+        servers = self._crashes.get(fingerprint).servers
+        record = model.QuarantineRecord(
+            fingerprint=fingerprint, search=search, servers=servers
+        )
+        self._table.write(model.Entry(1, quarantine=record))
+        self._metrics.quarantined.add(1, {"search": search})
+        _logs.log_event(
+            _LOGGER,
+            "quarantined",
+            logging.WARNING,
+            search=search,
+            fingerprint=fingerprint,
+            servers=",".join(servers),
+        )
+        await self._push()
+
+
+def create_quarantine(
+    table: peers.RecordTable,
+    metrics: _metrics.Metrics,
+    push: Callable[[], Awaitable[None]],
+) -> Quarantine:
+    """Returns the quarantine of an entry host.
+
+    Args:
+      table: Where proven bodies are shared.
+      metrics: Where they are counted.
+      push: Sends the table's changes to the other hosts at once.
+    """
+    return Quarantine(table, metrics, push)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_replicas.py
@@ -0,0 +1,153 @@
+"""Which servers hold the shards of a search, and which one to ask."""
+
+import collections
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _settings
+
+_OTHER_DOMAIN_MS = 10.0  # A round trip to another domain of the region.
+_OTHER_REGION_MS = 40.0  # A round trip to another region.
+_WARMING_MS = 1_000.0  # A warming server is asked only where no other is.
+_WAITING_MS = 5.0  # The wait behind one shard query of this host.
+_USABLE = frozenset(
+    {model.ServerCondition.SERVING, model.ServerCondition.WARMING}
+)
+
+
+@attrs.frozen
+class Replica:
+    """A server that may be asked for a shard."""
+
+    # The name of the server.
+    server: str
+    # The host that sends it work.
+    home: str
+
+
+class ReplicaDirectory:
+    """Keeps what the homes tell about their servers ready for planning."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        table: peers.RecordTable,
+        configurations: _configurations.ConfigurationHolder,
+        is_reachable: Callable[[str], bool],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._configurations = configurations
+        self._is_reachable = is_reachable
+        self._views: dict[str, tuple[policy.SnapshotView, ...]] = {}
+        self._outstanding: collections.Counter[str] = collections.Counter()
+        self._distances: dict[str, float] = {}
+        table.add_listener(self._take_entry)
+        configurations.add_listener(self._clear)
+
+    def views(self, search: str) -> tuple[policy.SnapshotView, ...]:
+        """Returns the snapshots of a search, newest first."""
+        if search not in self._views:
+            self._views[search] = policy.collect_snapshots(
+                search, self._usable_records(search)
+            )
+        return self._views[search]
+
+    def choose(
+        self, servers: Iterable[str], excluded: Iterable[str]
+    ) -> Replica | None:
+        """Returns the replica that is likely to answer first."""
+        best: tuple[float, Replica] | None = None
+        for name in servers:
+            if name in excluded:
+                continue
+            record = self._record(name)
+            if record is None or not self._is_usable(record):
+                continue
+            if not self._is_reachable(record.home):
+                continue
+            cost = self._cost_ms(record)
+            if best is None or cost < best[0]:
+                best = (cost, Replica(name, record.home))
+        return best[1] if best else None
+
+    def replica(self, server: str) -> Replica | None:
+        """Returns a server with its present home."""
+        return self.choose((server,), ())
+
+    def servers_of(self, search: str) -> tuple[str, ...]:
+        """Returns the servers that are declared for a search."""
+        return tuple(
+            name
+            for name, server in self._configurations.current.servers.items()
+            if search in server.spec.searches
+        )
+
+    def add_outstanding(self, server: str, count: int) -> None:
+        """Counts shard queries that wait for an answer."""
+        self._outstanding[server] += count
+
+    def _usable_records(self, search: str) -> Iterable[model.ServerRecord]:
+        declared = set(self.servers_of(search))
+        for entry in self._table.entries("server"):
+            record = entry.server
+            if record is not None and record.server in declared:
+                if self._is_usable(record):
+                    yield record
+
+    def _is_usable(self, record: model.ServerRecord) -> bool:
+        server = self._configurations.current.servers.get(record.server)
+        if server is None or record.condition not in _USABLE:
+            return False
+        return not self._configurations.is_server_out(server)
+
+    def _record(self, name: str) -> model.ServerRecord | None:
+        entry = self._table.get(("server", name))
+        return entry.server if entry else None
+
+    def _cost_ms(self, record: model.ServerRecord) -> float:
+        server = self._configurations.current.servers[record.server]
+        waiting = self._outstanding[record.server] / server.spec.slots
+        cost_ms = self._distance_ms(server) + waiting * _WAITING_MS
+        if record.condition is model.ServerCondition.WARMING:
+            cost_ms += _WARMING_MS
+        return cost_ms + random.random()
+
+    def _distance_ms(self, server: model.BackendServer) -> float:
+        name = server.spec.failure_domain
+        if name not in self._distances:
+            self._distances[name] = self._compute_distance_ms(name)
+        return self._distances[name]
+
+    def _compute_distance_ms(self, name: str) -> float:
+        if name == self._settings.failure_domain:
+            return 0.0
+        domain = self._configurations.current.domains.get(name)
+        region = domain.spec.region if domain else ""
+        if region == self._settings.region:
+            return _OTHER_DOMAIN_MS
+        return _OTHER_REGION_MS
+
+    def _take_entry(self, entry: model.Entry) -> None:
+        if entry.quarantine is None:
+            self._views.clear()
+
+    def _clear(self) -> None:
+        self._views.clear()
+        self._distances.clear()
+
+
+def create_replica_directory(
+    settings: _settings.Settings,
+    table: peers.RecordTable,
+    configurations: _configurations.ConfigurationHolder,
+    is_reachable: Callable[[str], bool],
+) -> ReplicaDirectory:
+    """Returns the directory of an entry host."""
+    return ReplicaDirectory(settings, table, configurations, is_reachable)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -0,0 +1,471 @@
+"""One caller's read request on its way through the homes."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable, Iterable
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _partials
+from cowslipvalve_daemon import _quarantines
+from cowslipvalve_daemon import _querystreams
+from cowslipvalve_daemon import _replicas
+
+_RETRY_MS = 40  # The wait before a shard without another replica is retried.
+_QUERY_NUMBERS = itertools.count(1)
+# The server has not seen these, or has turned them down at no cost.
+_FREE_REASONS = frozenset(
+    {
+        model.Reason.NOT_HOME,
+        model.Reason.OUT,
+        model.Reason.DRAINING,
+        model.Reason.UNREACHABLE,
+        model.Reason.QUEUE_FULL,
+        model.Reason.WARMING,
+        model.Reason.SNAPSHOT_GONE,
+    }
+)
+_CRASH_REASONS = frozenset(
+    {model.Reason.CONNECTION_LOST, model.Reason.QUARANTINED}
+)
+
+
+@attrs.define(eq=False)
+class _Shard:
+    """What is known of one shard of the request."""
+
+    index: int
+    tried: set[str] = attrs.field(factory=set)
+    pending: set[str] = attrs.field(factory=set)
+    is_answered: bool = False
+    is_hedged: bool = False
+    retry_at_ms: float | None = None
+    reason: model.Reason = model.Reason.NO_SERVER
+    may_have_run: bool = False
+
+
+@attrs.define(eq=False)
+class _Sent:
+    """A query that was sent to one home."""
+
+    query: model.HomeQuery
+    stream: _querystreams.QueryStream
+    sent_ms: float
+    left: set[int]
+
+
+@attrs.frozen(kw_only=True)
+class SearchTools:
+    """What all requests of an entry share."""
+
+    # Reads the time.
+    clock: model.Clock
+    # Chooses servers.
+    directory: _replicas.ReplicaDirectory
+    # Reaches the homes.
+    streams: _querystreams.QueryStreams
+    # Knows harmful bodies.
+    quarantine: _quarantines.Quarantine
+    # Bounds retries and hedges of this search.
+    budget: policy.ExtraLoadBudget
+    # Shard latencies of this search.
+    latencies: policy.LatencyWindow
+    # Counts attempts: the number and whether they are extra.
+    count_attempts: Callable[[int, bool], None]
+    # Counts failed shard queries by reason.
+    count_failure: Callable[[model.Reason], None]
+
+
+class SearchRun:
+    """Gathers the shards of one snapshot for one request."""
+
+    def __init__(
+        self,
+        tools: SearchTools,
+        search: model.Search,
+        view: policy.SnapshotView,
+        indices: Iterable[int],
+        request_id: str,
+        body: object,
+        fingerprint: str,
+        deadline_ms: float,
+    ) -> None:
+        self._tools = tools
+        self._spec = search.spec
+        self._name = search.metadata.name
+        self._view = view
+        self._request_id = request_id
+        self._body = body
+        self._fingerprint = fingerprint
+        self._deadline_ms = deadline_ms
+        self._start_ms = tools.clock.now_ms()
+        self._shards = {index: _Shard(index) for index in indices}
+        self._sent: dict[str, _Sent] = {}
+        self._updated = asyncio.Event()
+        self._hits: tuple[model.Hit, ...] = ()
+        self._total = 0
+        self._hedge_at_ms = float("inf")
+        self._proven: Awaitable[None] | None = None
+        self.is_quarantined = False
+        self.is_snapshot_gone = False
+
+    @property
+    def coverage(self) -> model.Coverage:
+        """Which of the asked shards have answered."""
+        missing = tuple(
+            sorted(s.index for s in self._shards.values() if not s.is_answered)
+        )
+        return model.Coverage(
+            answered=len(self._shards) - len(missing),
+            total=len(self._shards),
+            missing=missing,
+        )
+
+    @property
+    def hits(self) -> tuple[model.Hit, ...]:
+        """The best hits of the shards that have answered."""
+        return self._hits
+
+    @property
+    def total_hits(self) -> int:
+        """The number of matches in the shards that have answered."""
+        return self._total
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some server may have run some part of the request."""
+        return any(
+            shard.may_have_run or shard.is_answered or shard.pending
+            for shard in self._shards.values()
+        )
+
+    @property
+    def reason(self) -> model.Reason:
+        """Why a shard is missing, none if all have answered."""
+        for shard in self._shards.values():
+            if not shard.is_answered:
+                return model.Reason.DEADLINE if shard.pending else shard.reason
+        return model.Reason.NONE
+
+    async def run(self) -> None:
+        """Asks all shards and returns when the answer is as good as it gets."""
+        try:
+            if self._needs_canary():
+                await self._run_canary()
+            if not self.is_quarantined:
+                await self._run_all()
+            if self._proven is not None:
+                await self._proven
+        finally:
+            for query_id, sent in self._sent.items():
+                sent.stream.cancel(query_id)
+                self._forget(sent, sent.left)
+
+    def take_partial(self, partial: model.PartialAnswer) -> None:
+        """Takes what a home says of some shards."""
+        sent = self._sent.get(partial.query_id)
+        if sent is None:
+            return
+        accepted = set()
+        finished = set()
+        for result in partial.results:
+            if result.index not in sent.left:
+                continue
+            finished.add(result.index)
+            if self._take_result(sent, result):
+                accepted.add(result.index)
+        self._forget(sent, finished)
+        if not sent.left:
+            del self._sent[partial.query_id]
+        if accepted:
+            news = (hit for hit in partial.hits if hit.shard in accepted)
+            self._hits = _partials.merge_hits(
+                (*self._hits, *news), self._spec.top_hits
+            )
+            self._cancel_needless()
+        self._updated.set()
+
+    def _take_result(self, sent: _Sent, result: model.ShardResult) -> bool:
+        """Takes one shard's result; returns whether its hits are wanted."""
+        shard = self._shards[result.index]
+        shard.pending.discard(sent.query.query_id)
+        if result.outcome is model.Outcome.ANSWERED:
+            latency_ms = self._tools.clock.now_ms() - sent.sent_ms
+            self._tools.latencies.add(latency_ms)
+            self._tools.quarantine.add_answer(self._fingerprint)
+            if shard.is_answered:
+                return False
+            shard.is_answered = True
+            self._total += result.total
+            return True
+        self._tools.count_failure(result.reason)
+        shard.reason = result.reason
+        if result.outcome is model.Outcome.UNKNOWN:
+            shard.may_have_run = True
+        if result.reason in _CRASH_REASONS:
+            self._add_loss(result, sent.query.suspect)
+        if result.reason is model.Reason.SNAPSHOT_GONE:
+            self._note_gone(shard)
+        if not shard.is_answered and not shard.pending:
+            shard.retry_at_ms = self._tools.clock.now_ms()
+        return False
+
+    def _add_loss(self, result: model.ShardResult, alone: bool) -> None:
+        proven = self._tools.quarantine.add_loss(
+            self._fingerprint, result.server, alone
+        )
+        if proven and not self.is_quarantined:
+            self.is_quarantined = True
+            self._proven = self._tools.quarantine.prove(
+                self._name, self._fingerprint
+            )
+
+    def _note_gone(self, shard: _Shard) -> None:
+        holders = set(self._view.servers.get(shard.index, ()))
+        if holders <= shard.tried:
+            self.is_snapshot_gone = True
+
+    def _needs_canary(self) -> bool:
+        if not self._spec.canary:
+            return False
+        return not self._tools.quarantine.is_known(self._fingerprint)
+
+    async def _run_canary(self) -> None:
+        """Tries the body on one server, then on one other, before all.
+
+        The order of the servers follows from the body alone, so that resends
+        by way of other hosts meet the same two servers.
+        """
+        ranked = self._rank_canaries()
+        tried = 0
+        while not self._any_answered() and not self.is_quarantined:
+            if self._is_over():
+                return
+            is_waiting = bool(self._sent)
+            if (not is_waiting or tried == 1) and ranked:
+                index, server = ranked.pop(0)
+                suspect = tried > 0 or self._tools.quarantine.is_suspect(
+                    self._fingerprint
+                )
+                if await self._send_canary(index, server, suspect):
+                    tried += 1
+            elif not is_waiting:
+                return
+            await self._wait_until(self._canary_until_ms(tried))
+
+    def _rank_canaries(self) -> list[tuple[int, str]]:
+        by_server = {
+            server: index
+            for index in sorted(self._shards, reverse=True)
+            for server in self._view.servers.get(index, ())
+        }
+        ranked = policy.rank_names(by_server, self._fingerprint)
+        return [(by_server[server], server) for server in ranked]
+
+    async def _send_canary(
+        self, index: int, server: str, suspect: bool
+    ) -> bool:
+        replica = self._tools.directory.replica(server)
+        if replica is None:
+            return False
+        self._tools.budget.add_first_attempts(1)
+        self._tools.count_attempts(1, False)
+        await self._send(replica.home, {server: [index]}, suspect)
+        return True
+
+    def _canary_until_ms(self, tried: int) -> float:
+        if tried != 1:
+            return self._deadline_ms
+        delay_ms = 2 * self._tools.latencies.percentile_ms(95)
+        return min(self._deadline_ms, self._tools.clock.now_ms() + delay_ms)
+
+    async def _run_all(self) -> None:
+        await self._send_all(
+            [
+                s
+                for s in self._shards.values()
+                if not s.is_answered and not s.pending
+            ]
+        )
+        now_ms = self._tools.clock.now_ms()
+        if self._spec.hedge:
+            self._hedge_at_ms = now_ms + self._tools.latencies.percentile_ms(95)
+        while not self._is_over():
+            await self._wait_until(self._next_time_ms())
+            if self.is_quarantined or self.is_snapshot_gone:
+                return
+            if self._tools.clock.now_ms() >= self._hedge_at_ms:
+                self._hedge_at_ms = float("inf")
+                await self._hedge()
+            await self._retry()
+
+    def _is_over(self) -> bool:
+        """Whether waiting on cannot, or need not, make the answer better."""
+        now_ms = self._tools.clock.now_ms()
+        if now_ms >= self._deadline_ms:
+            return True
+        waiting = [s for s in self._shards.values() if self._is_hopeful(s)]
+        if not waiting:
+            return True
+        patience_ms = self._spec.patience_ms
+        if not patience_ms or now_ms < self._start_ms + patience_ms:
+            return False
+        return self.coverage.share >= max(self._spec.min_coverage, 1e-9)
+
+    def _is_hopeful(self, shard: _Shard) -> bool:
+        if shard.is_answered:
+            return False
+        return bool(shard.pending) or shard.retry_at_ms is not None
+
+    def _next_time_ms(self) -> float:
+        times = [self._deadline_ms, self._hedge_at_ms]
+        if self._spec.patience_ms:
+            patience_at_ms = self._start_ms + self._spec.patience_ms
+            if patience_at_ms > self._tools.clock.now_ms():
+                times.append(patience_at_ms)
+        times.extend(
+            shard.retry_at_ms
+            for shard in self._shards.values()
+            if shard.retry_at_ms is not None and not shard.is_answered
+        )
+        return min(times)
+
+    async def _wait_until(self, time_ms: float) -> None:
+        """Waits for news from a home, or until a time."""
+        left_ms = time_ms - self._tools.clock.now_ms()
+        if left_ms > 0:
+            try:
+                await asyncio.wait_for(
+                    self._updated.wait(), model.to_seconds(left_ms)
+                )
+            except TimeoutError:
+                pass
+        self._updated.clear()
+
+    async def _send_all(self, shards: list[_Shard]) -> None:
+        """Sends first attempts, one query to each home."""
+        self._tools.budget.add_first_attempts(len(shards))
+        sent = await self._send_shards(shards)
+        self._tools.count_attempts(sent, False)
+
+    async def _hedge(self) -> None:
+        """Asks another replica of each straggler, within the budget."""
+        stragglers = [
+            shard
+            for shard in self._shards.values()
+            if not shard.is_answered
+            and shard.pending
+            and not shard.is_hedged
+            and self._choose(shard) is not None
+        ]
+        allowed = self._tools.budget.take(len(stragglers))
+        chosen = stragglers[:allowed]
+        for shard in chosen:
+            shard.is_hedged = True
+        self._tools.count_attempts(await self._send_shards(chosen), True)
+
+    async def _retry(self) -> None:
+        """Sends the failed shards to other replicas."""
+        now_ms = self._tools.clock.now_ms()
+        due = [
+            shard
+            for shard in self._shards.values()
+            if not shard.is_answered
+            and shard.retry_at_ms is not None
+            and shard.retry_at_ms <= now_ms
+        ]
+        chosen = [shard for shard in due if self._may_retry(shard)]
+        for shard in due:
+            shard.retry_at_ms = None
+        sent = await self._send_shards(chosen)
+        self._tools.count_attempts(sent, True)
+        for shard in due:
+            if not shard.pending:
+                # Its replicas may be back, or have another home, after a while.
+                shard.tried.clear()
+                shard.retry_at_ms = now_ms + _RETRY_MS
+
+    def _may_retry(self, shard: _Shard) -> bool:
+        if shard.reason in _FREE_REASONS:
+            return True
+        if shard.reason is model.Reason.NO_SERVER:
+            return True
+        return self._tools.budget.take(1) == 1
+
+    def _choose(self, shard: _Shard) -> _replicas.Replica | None:
+        return self._tools.directory.choose(
+            self._view.servers.get(shard.index, ()), shard.tried
+        )
+
+    async def _send_shards(self, shards: Iterable[_Shard]) -> int:
+        """Sends one query to each home; returns the number of shards."""
+        by_home: dict[str, dict[str, list[int]]] = {}
+        count = 0
+        for shard in shards:
+            replica = self._choose(shard)
+            if replica is None:
+                if self._view.servers.get(shard.index):
+                    shard.retry_at_ms = self._tools.clock.now_ms() + _RETRY_MS
+                continue
+            servers = by_home.setdefault(replica.home, {})
+            servers.setdefault(replica.server, []).append(shard.index)
+            count += 1
+        suspect = self._tools.quarantine.is_suspect(self._fingerprint)
+        for home, servers in by_home.items():
+            await self._send(home, servers, suspect)
+        return count
+
+    async def _send(
+        self,
+        home: str,
+        servers: dict[str, list[int]],
+        suspect: bool,
+    ) -> None:
+        now_ms = self._tools.clock.now_ms()
+        query = model.HomeQuery(
+            query_id=str(next(_QUERY_NUMBERS)),
+            request_id=self._request_id,
+            snapshot=self._view.snapshot,
+            fingerprint=self._fingerprint,
+            body=self._body,
+            remaining_ms=self._deadline_ms - now_ms,
+            top_hits=self._spec.top_hits,
+            targets=tuple(
+                model.Target(server, tuple(indices))
+                for server, indices in servers.items()
+            ),
+            suspect=suspect,
+            trusted=self._tools.quarantine.is_known(self._fingerprint),
+        )
+        indices = {index for group in servers.values() for index in group}
+        for server, group in servers.items():
+            for index in group:
+                shard = self._shards[index]
+                shard.pending.add(query.query_id)
+                shard.tried.add(server)
+                shard.retry_at_ms = None
+            self._tools.directory.add_outstanding(server, len(group))
+        stream = await self._tools.streams.get(home)
+        self._sent[query.query_id] = _Sent(query, stream, now_ms, indices)
+        stream.send(query, self)
+
+    def _cancel_needless(self) -> None:
+        """Cancels the queries all of whose shards have answered elsewhere."""
+        for query_id, sent in list(self._sent.items()):
+            if all(self._shards[index].is_answered for index in sent.left):
+                sent.stream.cancel(query_id)
+                self._forget(sent, set(sent.left))
+                del self._sent[query_id]
+
+    def _forget(self, sent: _Sent, indices: set[int]) -> None:
+        """Stops counting shard queries that nobody waits for."""
+        for target in sent.query.targets:
+            count = len(indices.intersection(target.indices, sent.left))
+            if count:
+                self._tools.directory.add_outstanding(target.server, -count)
+        sent.left -= set(indices)
+
+    def _any_answered(self) -> bool:
+        return any(shard.is_answered for shard in self._shards.values())
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -0,0 +1,467 @@
+"""Sends work to one backend server within its slots and connections."""
+
+import asyncio
+import logging
+import math
+
+import mode
+
+import cowslipvalve_backend as backend
+import cowslipvalve_model as model
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _jobs
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _metrics
+
+_LOGGER = logging.getLogger(__name__)
+_MAX_BATCH = 32
+_STATE_MS = 500  # The time between two readings of the server's own state.
+_RECHECK_MS = 20  # The wait for a lease or for a handover.
+_DRAINING_MS = 5_000  # A draining refusal holds for so long without a state.
+_REFUSED_MS = 500  # The wait after a connection that was not taken.
+_FAILURES_TO_OPEN = 3
+_STRIKE_MS = 60_000  # A suspect is not let to the same server for so long.
+_SERVICE_WEIGHT = 0.1
+_CONTROL_CONNECTIONS = 2  # Kept for state and cancel calls.
+_NEVER = float("-inf")
+
+
+class ServerWorker(mode.Service):
+    """One task for each slot of a server, and one that reads its state."""
+
+    def __init__(
+        self,
+        server: model.BackendServer,
+        client: backend.ServerClient,
+        memberships: _memberships.Memberships,
+        configurations: _configurations.ConfigurationHolder,
+        metrics: _metrics.Metrics,
+        clock: model.Clock,
+    ) -> None:
+        super().__init__()
+        self.server = server
+        self.name = server.metadata.name
+        self._client = client
+        self._memberships = memberships
+        self._configurations = configurations
+        self._metrics = metrics
+        self._clock = clock
+        self._gate = policy.create_warm_up_gate(clock, server.spec.warm_up)
+        self._queue = _jobs.create_job_queue()
+        self._wake = asyncio.Condition()
+        self._running = 0
+        self._exclusive = False
+        self._service_ms = 5.0
+        self._boot_id = ""
+        self._draining_until_ms = _NEVER
+        self._refused_until_ms = _NEVER
+        self._failures = 0
+        self._strikes: dict[str, float] = {}
+        self._published: model.ServerRecord | None = None
+        self._state: model.ServerState | None = None
+        self._attempts = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is running on the server."""
+        return self._running > 0
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether this host may send work to the server now."""
+        return self._memberships.may_serve(self.name)
+
+    async def on_start(self) -> None:
+        """Starts one task for each slot."""
+        for index in range(self.server.spec.slots):
+            self.add_future(self._run_slot(index))
+
+    async def on_stop(self) -> None:
+        """Refuses what waits and closes the connections."""
+        self._queue.refuse_all(model.Reason.NOT_HOME)
+        await self._client.close()
+
+    async def enqueue(self, job: _jobs.ShardJob) -> None:
+        """Takes a job, or refuses it at once."""
+        reason = self._refusal(job.fingerprint, job.deadline_ms)
+        if job.collector.query.trusted:
+            self._strikes.pop(job.fingerprint, None)
+        if reason is not model.Reason.NONE:
+            job.finish(model.Outcome.NOT_RUN, reason)
+            return
+        self._queue.add(job)
+        await self._notify()
+
+    async def run_order(self, job: _jobs.OrderJob) -> model.HomeOrderReply:
+        """Runs an order in a slot of its own."""
+        reason = self._refusal(job.fingerprint, job.deadline_ms)
+        if reason is not model.Reason.NONE:
+            return model.HomeOrderReply(model.Outcome.NOT_RUN, reason)
+        async with self._wake:
+            try:
+                left_ms = job.deadline_ms - self._clock.now_ms()
+                await asyncio.wait_for(
+                    self._wake.wait_for(lambda: self._may_start(0)),
+                    model.to_seconds(max(0.0, left_ms)),
+                )
+            except TimeoutError:
+                return model.HomeOrderReply(
+                    model.Outcome.NOT_RUN, model.Reason.DEADLINE
+                )
+            self._running += 1
+        try:
+            return await self._send_order(job)
+        finally:
+            await self._release(exclusive=False)
+
+    async def lose_home(self) -> None:
+        """Refuses what waits, because another host is the home now."""
+        self._queue.refuse_all(model.Reason.NOT_HOME)
+        self._published = None
+
+    def drop_cancelled(self) -> None:
+        """Forgets waiting jobs that were cancelled."""
+        self._queue.drop_cancelled()
+
+    async def cancel(self, attempt_ids: tuple[str, ...]) -> None:
+        """Asks the server to stop attempts."""
+        await self._client.cancel(attempt_ids)
+
+    @mode.Service.task
+    async def _follow_state(self) -> None:
+        while not self.should_stop:
+            if self.may_serve:
+                await self._read_state()
+                self.publish()
+            await self.sleep(model.to_seconds(_STATE_MS))
+
+    @mode.Service.task
+    async def _expire(self) -> None:
+        """Refuses jobs that cannot start in time, and rechecks the lease."""
+        while not self.should_stop:
+            if len(self._queue):
+                self._queue.refuse_expired(self._clock.now_ms())
+                await self._notify()
+            await self._clock.sleep_ms(_RECHECK_MS)
+
+    async def _run_slot(self, index: int) -> None:
+        while not self.should_stop:
+            async with self._wake:
+                await self._wake.wait_for(
+                    lambda: len(self._queue) > 0 and self._may_start(index)
+                )
+                batch, exclusive = self._take_batch()
+            if not batch:
+                continue
+            try:
+                await self._send(batch)
+            finally:
+                await self._release(exclusive)
+
+    def _may_start(self, index: int) -> bool:
+        slots = self.server.spec.slots
+        if self._exclusive or self._running >= slots:
+            return False
+        if self._queue.next_is_suspect() and self._running > 0:
+            return False
+        if self._running >= self._gate.concurrency(slots):
+            return False
+        if self._gate.delay_ms() > 0:
+            return False
+        return self._is_open() and self.may_serve and index < slots
+
+    def _is_open(self) -> bool:
+        if self._configurations.is_server_out(self.server):
+            return False
+        now_ms = self._clock.now_ms()
+        return now_ms >= max(self._refused_until_ms, self._draining_until_ms)
+
+    def _refusal(self, fingerprint: str, deadline_ms: float) -> model.Reason:
+        """Returns why a job cannot be taken, or that it can."""
+        now_ms = self._clock.now_ms()
+        if not self._memberships.is_first_for(self.name):
+            return model.Reason.NOT_HOME
+        if self._configurations.is_server_out(self.server):
+            return model.Reason.OUT
+        if now_ms < self._draining_until_ms:
+            return model.Reason.DRAINING
+        if now_ms < self._refused_until_ms:
+            return model.Reason.UNREACHABLE
+        if self._strikes.get(fingerprint, _NEVER) > now_ms - _STRIKE_MS:
+            return model.Reason.QUARANTINED
+        if now_ms + self._expected_wait_ms() >= deadline_ms:
+            return (
+                model.Reason.QUEUE_FULL
+                if self._gate.is_warm
+                else model.Reason.WARMING
+            )
+        return model.Reason.NONE
+
+    def _expected_wait_ms(self) -> float:
+        waiting = len(self._queue)
+        slots = self._gate.concurrency(self.server.spec.slots)
+        service_ms = self._service_ms * waiting / slots
+        return max(service_ms, self._gate.expected_wait_ms(waiting))
+
+    def _take_batch(self) -> tuple[list[_jobs.ShardJob], bool]:
+        """Takes jobs for one slot and occupies it; called under the lock."""
+        now_ms = self._clock.now_ms()
+        self._queue.refuse_expired(now_ms)
+        exclusive = self._queue.next_is_suspect()
+        batch = self._queue.take(self._batch_size())
+        if batch:
+            self._running += 1
+            self._exclusive = exclusive
+            self._gate.start(len(batch))
+        return batch, exclusive
+
+    def _batch_size(self) -> int:
+        if not self._gate.is_warm:
+            return 1
+        free = max(1, self.server.spec.slots - self._running)
+        return min(_MAX_BATCH, math.ceil(len(self._queue) / free))
+
+    async def _send(self, batch: list[_jobs.ShardJob]) -> None:
+        now_ms = self._clock.now_ms()
+        for job in batch:
+            remaining_ms = job.deadline_ms - now_ms
+            job.query = _with_remaining(job.query, remaining_ms)
+        timeout_ms = max(job.deadline_ms for job in batch) - now_ms
+        opened = self._client.connections_opened
+        try:
+            reply = await self._client.query(
+                model.ServerBatch(tuple(job.query for job in batch)), timeout_ms
+            )
+        except model.NotRunError as error:
+            self._note_refused_connection()
+            _finish_all(batch, model.Outcome.NOT_RUN, error.reason)
+        except model.CrashedError as error:
+            self._note_crash(batch, error)
+            _finish_all(
+                batch, model.Outcome.UNKNOWN, model.Reason.CONNECTION_LOST
+            )
+        except model.UnknownOutcomeError as error:
+            self._note_failure(error)
+            reason = model.Reason.MISMATCH
+            if self._clock.now_ms() >= now_ms + timeout_ms:
+                reason = model.Reason.DEADLINE
+            _finish_all(batch, model.Outcome.UNKNOWN, reason)
+        else:
+            latency_ms = self._clock.now_ms() - now_ms
+            is_new = self._client.connections_opened > opened
+            self._take_reply(batch, reply, latency_ms, is_new)
+
+    def _take_reply(
+        self,
+        batch: list[_jobs.ShardJob],
+        reply: model.ServerReply,
+        latency_ms: float,
+        is_new_connection: bool,
+    ) -> None:
+        self._note_boot(reply.boot_id)
+        answered = 0
+        for job, answer in zip(batch, reply.answers, strict=True):
+            if answer.outcome is model.Outcome.ANSWERED:
+                answered += 1
+                self._strikes.pop(job.fingerprint, None)
+            self._note_refusal(answer.reason)
+            job.finish(answer.outcome, answer.reason, answer.total, answer.hits)
+        if not answered:
+            return
+        self._failures = 0
+        per_query_ms = latency_ms / len(batch)
+        self._service_ms += _SERVICE_WEIGHT * (per_query_ms - self._service_ms)
+        # The time of a new connection says nothing of the server's warmth.
+        if not is_new_connection and self._gate.add_answer(per_query_ms):
+            self._note_warm_up("latency")
+        elif is_new_connection:
+            self._gate.add_answer(0.0)
+
+    async def _send_order(self, job: _jobs.OrderJob) -> model.HomeOrderReply:
+        now_ms = self._clock.now_ms()
+        if not self.may_serve or now_ms >= job.deadline_ms:
+            return model.HomeOrderReply(
+                model.Outcome.NOT_RUN, model.Reason.NOT_HOME
+            )
+        timeout_ms = job.deadline_ms - now_ms
+        self._gate.start(1)
+        try:
+            reply = await self._client.order(
+                _order_with_remaining(job.order, timeout_ms), timeout_ms
+            )
+        except model.NotRunError as error:
+            self._note_refused_connection()
+            return model.HomeOrderReply(model.Outcome.NOT_RUN, error.reason)
+        except model.CrashedError:
+            self._strikes[job.fingerprint] = self._clock.now_ms()
+            self._restart_warm_up("connection-lost")
+            return model.HomeOrderReply(
+                model.Outcome.UNKNOWN, model.Reason.CONNECTION_LOST
+            )
+        except model.UnknownOutcomeError as error:
+            self._note_failure(error)
+            return model.HomeOrderReply(
+                model.Outcome.UNKNOWN, model.Reason.DEADLINE
+            )
+        self._note_boot(reply.boot_id)
+        self._note_refusal(reply.reason)
+        if reply.outcome is model.Outcome.ANSWERED:
+            self._gate.add_answer(0.0)
+        return model.HomeOrderReply(reply.outcome, reply.reason, reply.result)
+
+    async def _release(self, exclusive: bool) -> None:
+        self._running -= 1
+        if exclusive:
+            self._exclusive = False
+        await self._notify()
+
+    async def _notify(self) -> None:
+        async with self._wake:
+            self._wake.notify_all()
+
+    def _note_boot(self, boot_id: str) -> None:
+        if self._boot_id and self._boot_id != boot_id:
+            self._restart_warm_up("new-boot")
+        self._boot_id = boot_id
+
+    def _note_refusal(self, reason: model.Reason) -> None:
+        if reason is model.Reason.SHED:
+            self._restart_warm_up("shed")
+        elif reason is model.Reason.DRAINING:
+            self._draining_until_ms = self._clock.now_ms() + _DRAINING_MS
+            self._queue.refuse_all(model.Reason.DRAINING)
+            self.publish()
+
+    def _note_refused_connection(self) -> None:
+        self._refused_until_ms = self._clock.now_ms() + _REFUSED_MS
+        self._restart_warm_up("connection-refused")
+        self._queue.refuse_all(model.Reason.UNREACHABLE)
+        self.publish()
+
+    def _note_crash(
+        self, batch: list[_jobs.ShardJob], error: model.CrashedError
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        for job in batch:
+            if not job.collector.query.trusted:
+                self._strikes[job.fingerprint] = now_ms
+        self._restart_warm_up("connection-lost")
+        self._note_failure(error)
+
+    def _note_failure(self, error: model.CowslipvalveError) -> None:
+        self._failures += 1
+        if self._failures >= _FAILURES_TO_OPEN:
+            self._failures = 0
+            self._refused_until_ms = self._clock.now_ms() + _REFUSED_MS
+            self._restart_warm_up("failures")
+            self.publish()
+        _logs.log_event(
+            _LOGGER,
+            "server-failure",
+            logging.WARNING,
+            step=error.step,
+            peer=error.peer,
+            error=error,
+        )
+
+    def _restart_warm_up(self, reason: str) -> None:
+        self._gate.restart()
+        self._note_warm_up(reason)
+
+    def _note_warm_up(self, reason: str) -> None:
+        self._metrics.warm_ups.add(1, {"reason": reason})
+        _logs.log_event(_LOGGER, "warm-up", server=self.name, reason=reason)
+
+    async def _read_state(self) -> None:
+        try:
+            self._state = await self._client.read_state()
+        except model.NotRunError:
+            if self._state is None:
+                return
+            self._failures += 1
+            if self._failures >= _FAILURES_TO_OPEN:
+                self._note_refused_connection()
+            return
+        self._note_boot(self._state.boot_id)
+        now_ms = self._clock.now_ms()
+        if self._state.draining:
+            self._draining_until_ms = now_ms + _DRAINING_MS
+            self._queue.refuse_all(model.Reason.DRAINING)
+
+    def _condition(self) -> model.ServerCondition:
+        now_ms = self._clock.now_ms()
+        if self._configurations.is_server_out(self.server):
+            return model.ServerCondition.OUT
+        if now_ms < self._draining_until_ms:
+            return model.ServerCondition.DRAINING
+        if now_ms < self._refused_until_ms:
+            return model.ServerCondition.UNREACHABLE
+        if self._gate.is_warm:
+            return model.ServerCondition.SERVING
+        return model.ServerCondition.WARMING
+
+    def publish(self) -> None:
+        """Tells the entries what is new about the server."""
+        if self._state is None or not self.may_serve:
+            return
+        record = model.ServerRecord(
+            server=self.name,
+            home=self._memberships.host,
+            incarnation=self._memberships.incarnation,
+            condition=self._condition(),
+            holdings=self._state.holdings,
+        )
+        if record != self._published:
+            self._published = record
+            self._memberships.write_server(record)
+
+
+def _finish_all(
+    batch: list[_jobs.ShardJob], outcome: model.Outcome, reason: str
+) -> None:
+    for job in batch:
+        job.finish(outcome, model.Reason(reason))
+
+
+def _with_remaining(
+    query: model.ShardQuery, remaining_ms: float
+) -> model.ShardQuery:
+    return model.ShardQuery(
+        query.request_id,
+        query.attempt_id,
+        query.snapshot,
+        query.index,
+        query.body,
+        remaining_ms,
+        query.top_hits,
+    )
+
+
+def _order_with_remaining(
+    order: model.ServerOrder, remaining_ms: float
+) -> model.ServerOrder:
+    return model.ServerOrder(
+        order.request_id,
+        order.attempt_id,
+        order.search,
+        order.body,
+        remaining_ms,
+    )
+
+
+def create_server_worker(
+    server: model.BackendServer,
+    memberships: _memberships.Memberships,
+    configurations: _configurations.ConfigurationHolder,
+    metrics: _metrics.Metrics,
+    clock: model.Clock,
+) -> ServerWorker:
+    """Returns the worker of one server, which counts as cold."""
+    client = backend.create_server_client(
+        server.metadata.name, server.spec.address, server.spec.max_connections
+    )
+    return ServerWorker(
+        server, client, memberships, configurations, metrics, clock
+    )
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_statuses.py
@@ -0,0 +1,199 @@
+"""Writes what the hosts found into the status of operators' resources."""
+
+import logging
+from collections.abc import Iterator
+
+import attrs
+import mode
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+import cowslipvalve_platform as platform
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _compilers
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _replicas
+from cowslipvalve_daemon import _watchers
+
+_LOGGER = logging.getLogger(__name__)
+_ROUND_MS = 1_000
+_MAX_WRITES = 50  # Leaves most of the platform's writes to the operators.
+_LEADER_KEY = "status"
+
+
+class StatusWriter(mode.Service):
+    """Writes changed statuses, on one host of each failure domain.
+
+    Servers are reported by a host of their own domain. Searches, domains and
+    servers of domains without hosts are reported by one domain for all.
+    """
+
+    def __init__(
+        self,
+        client: platform.PlatformClient,
+        table: peers.RecordTable,
+        directory: _replicas.ReplicaDirectory,
+        configurations: _configurations.ConfigurationHolder,
+        memberships: _memberships.Memberships,
+        watcher: _watchers.PlatformWatcher,
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._table = table
+        self._directory = directory
+        self._configurations = configurations
+        self._memberships = memberships
+        self._watcher = watcher
+
+    @mode.Service.task
+    async def _write_all(self) -> None:
+        while not self.should_stop:
+            await self.sleep(model.to_seconds(_ROUND_MS))
+            if not self._memberships.has_role(_watchers.ROLE_KEY, 1):
+                continue
+            try:
+                await self._write_changed()
+            except model.ConflictError:
+                continue
+            except model.CowslipvalveError as error:
+                _logs.log_event(
+                    _LOGGER,
+                    "status-failure",
+                    logging.WARNING,
+                    step="write-status",
+                    peer=error.peer,
+                    error=error,
+                )
+
+    async def _write_changed(self) -> None:
+        writes = 0
+        for kind, name, status in self._compute_all():
+            item = self._watcher.get_object(kind, name)
+            plain = model.to_plain(status)
+            if item is None or item.status == plain:
+                continue
+            # The watch brings the written object back.
+            await self._client.update_status(attrs.evolve(item, status=plain))
+            writes += 1
+            if writes == _MAX_WRITES:
+                return
+
+    def _compute_all(self) -> Iterator[tuple[str, str, model.Status]]:
+        hosts = self._live_hosts()
+        leads = self._leads(hosts)
+        configuration = self._configurations.current
+        for rejection in self._watcher.rejections:
+            if leads:
+                yield rejection.kind, rejection.name, self._reject(rejection)
+        rejected = {(r.kind, r.name) for r in self._watcher.rejections}
+        for name, server in configuration.servers.items():
+            is_own = self._is_own_domain(server.spec.failure_domain)
+            is_orphan = leads and server.spec.failure_domain not in hosts
+            if (is_own or is_orphan) and (
+                "BackendServer",
+                name,
+            ) not in rejected:
+                yield "BackendServer", name, self._server_status(server)
+        if not leads:
+            return
+        for name, search in configuration.searches.items():
+            if ("Search", name) not in rejected:
+                yield "Search", name, self._search_status(search)
+        for name, domain in configuration.domains.items():
+            if ("FailureDomain", name) not in rejected:
+                yield "FailureDomain", name, self._domain_status(domain, hosts)
+
+    def _live_hosts(self) -> dict[str, list[str]]:
+        """Returns the names of live hosts by failure domain."""
+        hosts: dict[str, list[str]] = {}
+        for entry in self._table.entries("host"):
+            record = entry.host
+            if record is not None and record.state is model.HostState.LIVE:
+                names = hosts.setdefault(record.failure_domain, [])
+                names.append(record.host)
+        return hosts
+
+    def _leads(self, hosts: dict[str, list[str]]) -> bool:
+        leader = policy.choose_name(hosts, _LEADER_KEY)
+        return leader is not None and self._is_own_domain(leader)
+
+    def _is_own_domain(self, name: str) -> bool:
+        own = self._memberships.host_record(self._memberships.host)
+        return own is not None and own.failure_domain == name
+
+    def _reject(self, rejection: _compilers.Rejection) -> model.Status:
+        condition = model.Condition(
+            type="Accepted",
+            status=model.ConditionStatus.FALSE,
+            reason="BadSpec",
+            message=rejection.message,
+        )
+        return model.Status(
+            observed_generation=rejection.generation, conditions=(condition,)
+        )
+
+    def _server_status(self, server: model.BackendServer) -> model.Status:
+        entry = self._table.get(("server", server.metadata.name))
+        record = entry.server if entry else None
+        return model.BackendServerStatus(
+            observed_generation=self._generation("BackendServer", server),
+            accepted_number=server.status.accepted_number,
+            conditions=(_accepted(),),
+            home=record.home if record else "",
+            state=str(record.condition) if record else "unknown",
+        )
+
+    def _search_status(self, search: model.Search) -> model.Status:
+        name = search.metadata.name
+        view = policy.choose_snapshot(self._directory.views(name))
+        return model.SearchStatus(
+            observed_generation=self._generation("Search", search),
+            accepted_number=search.status.accepted_number,
+            conditions=(_accepted(),),
+            snapshot=view.snapshot.number if view else 0,
+            coverage=round(view.coverage, 4) if view else 0.0,
+        )
+
+    def _domain_status(
+        self, domain: model.FailureDomain, hosts: dict[str, list[str]]
+    ) -> model.Status:
+        name = domain.metadata.name
+        return model.FailureDomainStatus(
+            observed_generation=self._generation("FailureDomain", domain),
+            accepted_number=domain.status.accepted_number,
+            conditions=(_accepted(),),
+            hosts=tuple(sorted(hosts.get(name, ()))),
+        )
+
+    def _generation(self, kind: str, resource: model.Resource) -> int:
+        """Returns the generation whose spec is in force."""
+        item = self._watcher.get_object(kind, resource.metadata.name)
+        if item is None:
+            return resource.metadata.generation
+        try:
+            seen = _compilers.check_resource(item)
+        except model.InputError:
+            return resource.metadata.generation
+        if seen.spec != resource.spec:
+            return resource.metadata.generation
+        return item.metadata.generation
+
+
+def _accepted() -> model.Condition:
+    return model.Condition(type="Accepted", status=model.ConditionStatus.TRUE)
+
+
+def create_status_writer(
+    client: platform.PlatformClient,
+    table: peers.RecordTable,
+    directory: _replicas.ReplicaDirectory,
+    configurations: _configurations.ConfigurationHolder,
+    memberships: _memberships.Memberships,
+    watcher: _watchers.PlatformWatcher,
+) -> StatusWriter:
+    """Returns the writer of this host."""
+    return StatusWriter(
+        client, table, directory, configurations, memberships, watcher
+    )
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_transports.py
@@ -0,0 +1,68 @@
+"""How the hosts reach each other."""
+
+import ssl
+
+import aiohttp
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_daemon import _settings
+
+_KEEP_ALIVE_S = 30
+_CONNECT_MS = 1_000
+
+
+@attrs.frozen
+class Transport:
+    """What both sides of the traffic between hosts need."""
+
+    # The scheme of URLs, http or https.
+    scheme: str
+    # How this host presents itself to callers of its peer interface.
+    server_context: ssl.SSLContext | None
+    # Sends requests to peers.
+    session: aiohttp.ClientSession
+
+
+def _create_context(
+    tls: _settings.TlsSettings, purpose: ssl.Purpose
+) -> ssl.SSLContext:
+    """Returns a context that lets in only hosts of the given authority."""
+    context = ssl.create_default_context(purpose, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    # Hosts are named by IP numbers that change; the authority vouches.
+    context.check_hostname = False
+    return context
+
+
+def create_transport(settings: _settings.Settings) -> Transport:
+    """Returns the transport that the settings ask for.
+
+    Raises:
+      SettingsError: A certificate or key cannot be used.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=model.to_seconds(_CONNECT_MS)
+    )
+    server_context = client_context = None
+    if settings.tls is not None:
+        try:
+            server_context = _create_context(
+                settings.tls, ssl.Purpose.CLIENT_AUTH
+            )
+            client_context = _create_context(
+                settings.tls, ssl.Purpose.SERVER_AUTH
+            )
+        except OSError as error:
+            raise model.SettingsError(
+                f"tls: {error}; name readable PEM files", step="load-tls"
+            ) from error
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=_KEEP_ALIVE_S,
+        ssl=client_context if client_context is not None else True,
+    )
+    session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+    scheme = "https" if settings.tls is not None else "http"
+    return Transport(scheme, server_context, session)
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_watchers.py
@@ -0,0 +1,226 @@
+"""Reads operators' resources and commits the accepted configuration."""
+
+import asyncio
+import logging
+
+import mode
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_daemon import _compilers
+from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _metrics
+
+_LOGGER = logging.getLogger(__name__)
+_RETRY_MS = 500  # The wait after a failure of the platform.
+_ROLE_CHECK_MS = 500
+_RELOAD_MS = 10_000  # A watch that lost an event is mended by then.
+_SETTLE_MS = 50  # Changes that come together are accepted together.
+_WATCHERS_PER_DOMAIN = 2
+ROLE_KEY = "platform-watcher"
+
+
+class PlatformWatcher(mode.Service):
+    """Watches the platform on a few hosts of each failure domain.
+
+    Every watcher compiles and commits; the conditional write of the head lets
+    one of them win, and the others load what it wrote.
+    """
+
+    def __init__(
+        self,
+        client: platform.PlatformClient,
+        store: platform.ConfigurationStore,
+        configurations: _configurations.ConfigurationHolder,
+        memberships: _memberships.Memberships,
+        metrics: _metrics.Metrics,
+        clock: model.Clock,
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._store = store
+        self._configurations = configurations
+        self._memberships = memberships
+        self._metrics = metrics
+        self._clock = clock
+        self._objects: dict[tuple[str, str], platform.StoredObject] = {}
+        self._listed: set[str] = set()
+        self._changed = asyncio.Event()
+        self.rejections: tuple[_compilers.Rejection, ...] = ()
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this host is one of its domain's watchers."""
+        return self._memberships.has_role(ROLE_KEY, _WATCHERS_PER_DOMAIN)
+
+    def get_object(self, kind: str, name: str) -> platform.StoredObject | None:
+        """Returns a resource as this host last saw it."""
+        return self._objects.get((kind, name))
+
+    @mode.Service.task
+    async def _watch_searches(self) -> None:
+        await self._watch_kind("Search")
+
+    @mode.Service.task
+    async def _watch_servers(self) -> None:
+        await self._watch_kind("BackendServer")
+
+    @mode.Service.task
+    async def _watch_domains(self) -> None:
+        await self._watch_kind("FailureDomain")
+
+    @mode.Service.task
+    async def _accept(self) -> None:
+        while not self.should_stop:
+            await self._wait_for_change()
+            if not self.is_watching or len(self._listed) < len(model.KINDS):
+                continue
+            try:
+                await self._accept_once()
+            except model.ConflictError:
+                self._changed.set()
+            except model.CowslipvalveError as error:
+                self._note_failure("accept", error)
+                self._changed.set()
+                await self.sleep(model.to_seconds(_RETRY_MS))
+
+    async def _wait_for_change(self) -> None:
+        try:
+            await asyncio.wait_for(
+                self._changed.wait(), model.to_seconds(_RELOAD_MS)
+            )
+        except TimeoutError:
+            pass
+        await self._clock.sleep_ms(_SETTLE_MS)
+        self._changed.clear()
+
+    async def _accept_once(self) -> None:
+        """Loads the accepted configuration and commits the next one."""
+        stored = await self._store.load()
+        if stored.configuration.number > self._configurations.current.number:
+            self._configurations.install(
+                model.complete_delta(stored.configuration)
+            )
+        compilation = _compilers.compile_configuration(
+            stored.configuration,
+            tuple(self._objects.values()),
+            self._clock.wall_time_ms(),
+        )
+        self.rejections = compilation.rejections
+        if not compilation.changes:
+            await self._store.complete_audit(stored.head)
+            return
+        committed = await self._store.commit(
+            stored, compilation.configuration, compilation.changes
+        )
+        self._configurations.install(
+            model.complete_delta(committed.configuration)
+        )
+        for change in compilation.changes:
+            _logs.log_event(
+                _LOGGER,
+                "configuration-accepted",
+                number=change.number,
+                kind=change.kind,
+                name=change.name,
+                operator=change.operator,
+            )
+
+    async def _watch_kind(self, kind: str) -> None:
+        while not self.should_stop:
+            if not self.is_watching:
+                self._listed.discard(kind)
+                await self.sleep(model.to_seconds(_ROLE_CHECK_MS))
+                continue
+            try:
+                await self._follow(kind)
+            except model.NotFoundError:
+                continue
+            except model.CowslipvalveError as error:
+                self._note_failure(f"watch-{kind}", error)
+                await self.sleep(model.to_seconds(_RETRY_MS))
+
+    async def _follow(self, kind: str) -> None:
+        listed = await self._client.list(kind)
+        self._replace(kind, listed.items)
+        async for event in self._client.watch(kind, listed.resource_version):
+            self._take_event(event)
+            if not self.is_watching:
+                return
+
+    def _replace(
+        self, kind: str, items: tuple[platform.StoredObject, ...]
+    ) -> None:
+        for key in [key for key in self._objects if key[0] == kind]:
+            del self._objects[key]
+        for item in items:
+            self._objects[(kind, item.metadata.name)] = item
+            self._announce(item)
+        self._listed.add(kind)
+        self._changed.set()
+
+    def _take_event(self, event: platform.WatchEvent) -> None:
+        item = event.object
+        key = (item.kind, item.metadata.name)
+        old = self._objects.get(key)
+        if event.type == "DELETED":
+            self._objects.pop(key, None)
+            self._changed.set()
+            return
+        self._objects[key] = item
+        self._announce(item)
+        if old is None or old.metadata.generation != item.metadata.generation:
+            self._changed.set()
+
+    def _announce(self, item: platform.StoredObject) -> None:
+        """Spreads an operator's placement before it is accepted."""
+        try:
+            resource = _compilers.check_resource(item)
+        except model.InputError:
+            return
+        if isinstance(resource, model.Search):
+            return
+        out = resource.spec.placement is model.Placement.OUT
+        known = self._known_placement(resource)
+        if out != known:
+            self._configurations.announce_placement(
+                item.kind, item.metadata, out
+            )
+
+    def _known_placement(
+        self, resource: model.BackendServer | model.FailureDomain
+    ) -> bool:
+        if isinstance(resource, model.FailureDomain):
+            return self._configurations.is_domain_out(resource.metadata.name)
+        return self._configurations.is_placed_out(resource)
+
+    def _note_failure(self, step: str, error: model.CowslipvalveError) -> None:
+        self._metrics.platform_failures.add(1, {"step": step})
+        _logs.log_event(
+            _LOGGER,
+            "platform-failure",
+            logging.WARNING,
+            step=step,
+            error=error,
+            peer=error.peer,
+        )
+
+
+def create_platform_watcher(
+    client: platform.PlatformClient,
+    configurations: _configurations.ConfigurationHolder,
+    memberships: _memberships.Memberships,
+    metrics: _metrics.Metrics,
+    clock: model.Clock,
+) -> PlatformWatcher:
+    """Returns the watcher of this host."""
+    return PlatformWatcher(
+        client,
+        platform.create_configuration_store(client),
+        configurations,
+        memberships,
+        metrics,
+        clock,
+    )
--- /dev/null
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -0,0 +1,187 @@
+"""Data, clock, codec and errors shared by all cowslipvalve packages."""
+
+from cowslipvalve_model._calls import MAX_KEY_LENGTH
+from cowslipvalve_model._calls import SearchRequest
+from cowslipvalve_model._calls import OrderRequest
+from cowslipvalve_model._calls import Hit
+from cowslipvalve_model._calls import Coverage
+from cowslipvalve_model._calls import SearchAnswer
+from cowslipvalve_model._calls import Ticket
+from cowslipvalve_model._calls import OrderAnswer
+from cowslipvalve_model._calls import Failure
+from cowslipvalve_model._clock import Clock
+from cowslipvalve_model._clock import create_clock
+from cowslipvalve_model._clock import to_seconds
+from cowslipvalve_model._codec import to_camel_case
+from cowslipvalve_model._codec import to_plain
+from cowslipvalve_model._codec import from_plain
+from cowslipvalve_model._codec import check_plain
+from cowslipvalve_model._codec import encode
+from cowslipvalve_model._codec import encode_plain
+from cowslipvalve_model._codec import decode
+from cowslipvalve_model._codec import decode_plain
+from cowslipvalve_model._codec import Text
+from cowslipvalve_model._configuration import ConfigurationChange
+from cowslipvalve_model._configuration import Configuration
+from cowslipvalve_model._configuration import ConfigurationDelta
+from cowslipvalve_model._configuration import apply_delta
+from cowslipvalve_model._configuration import compute_delta
+from cowslipvalve_model._configuration import complete_delta
+from cowslipvalve_model._errors import CowslipvalveError
+from cowslipvalve_model._errors import SettingsError
+from cowslipvalve_model._errors import InputError
+from cowslipvalve_model._errors import RequestError
+from cowslipvalve_model._errors import NotRunError
+from cowslipvalve_model._errors import UnknownOutcomeError
+from cowslipvalve_model._errors import CrashedError
+from cowslipvalve_model._errors import PlatformError
+from cowslipvalve_model._errors import PlatformUnavailableError
+from cowslipvalve_model._errors import ConflictError
+from cowslipvalve_model._errors import AlreadyExistsError
+from cowslipvalve_model._errors import NotFoundError
+from cowslipvalve_model._hostcalls import Target
+from cowslipvalve_model._hostcalls import HomeQuery
+from cowslipvalve_model._hostcalls import ShardResult
+from cowslipvalve_model._hostcalls import PartialAnswer
+from cowslipvalve_model._hostcalls import QueryBatch
+from cowslipvalve_model._hostcalls import PartialBatch
+from cowslipvalve_model._hostcalls import HomeOrder
+from cowslipvalve_model._hostcalls import HomeOrderReply
+from cowslipvalve_model._hostcalls import ForwardedOrder
+from cowslipvalve_model._membership import HostState
+from cowslipvalve_model._membership import Beat
+from cowslipvalve_model._membership import HostRecord
+from cowslipvalve_model._membership import ServerCondition
+from cowslipvalve_model._membership import ServerRecord
+from cowslipvalve_model._membership import PlacementRecord
+from cowslipvalve_model._membership import QuarantineRecord
+from cowslipvalve_model._membership import Record
+from cowslipvalve_model._membership import Entry
+from cowslipvalve_model._membership import Heartbeat
+from cowslipvalve_model._outcomes import Outcome
+from cowslipvalve_model._outcomes import Reason
+from cowslipvalve_model._outcomes import RETRYABLE
+from cowslipvalve_model._resources import OPERATOR_ANNOTATION
+from cowslipvalve_model._resources import SearchKind
+from cowslipvalve_model._resources import OrderGuard
+from cowslipvalve_model._resources import Placement
+from cowslipvalve_model._resources import ConditionStatus
+from cowslipvalve_model._resources import Metadata
+from cowslipvalve_model._resources import Condition
+from cowslipvalve_model._resources import Status
+from cowslipvalve_model._resources import SearchSpec
+from cowslipvalve_model._resources import SearchStatus
+from cowslipvalve_model._resources import Search
+from cowslipvalve_model._resources import WarmUp
+from cowslipvalve_model._resources import BackendServerSpec
+from cowslipvalve_model._resources import BackendServerStatus
+from cowslipvalve_model._resources import BackendServer
+from cowslipvalve_model._resources import FailureDomainSpec
+from cowslipvalve_model._resources import FailureDomainStatus
+from cowslipvalve_model._resources import FailureDomain
+from cowslipvalve_model._resources import Resource
+from cowslipvalve_model._resources import KINDS
+from cowslipvalve_model._servercalls import ShardQuery
+from cowslipvalve_model._servercalls import ShardAnswer
+from cowslipvalve_model._servercalls import ServerBatch
+from cowslipvalve_model._servercalls import ServerReply
+from cowslipvalve_model._servercalls import ServerState
+from cowslipvalve_model._servercalls import ServerOrder
+from cowslipvalve_model._servercalls import ServerOrderReply
+from cowslipvalve_model._servercalls import CancelRequest
+from cowslipvalve_model._shards import Snapshot
+from cowslipvalve_model._shards import Holding
+
+__all__ = [
+    "AlreadyExistsError",
+    "BackendServer",
+    "BackendServerSpec",
+    "BackendServerStatus",
+    "Beat",
+    "CancelRequest",
+    "Clock",
+    "Condition",
+    "ConditionStatus",
+    "Configuration",
+    "ConfigurationChange",
+    "ConfigurationDelta",
+    "ConflictError",
+    "Coverage",
+    "CowslipvalveError",
+    "CrashedError",
+    "Entry",
+    "Failure",
+    "FailureDomain",
+    "FailureDomainSpec",
+    "FailureDomainStatus",
+    "ForwardedOrder",
+    "Heartbeat",
+    "Hit",
+    "Holding",
+    "HomeOrder",
+    "HomeOrderReply",
+    "HomeQuery",
+    "HostRecord",
+    "HostState",
+    "InputError",
+    "KINDS",
+    "MAX_KEY_LENGTH",
+    "Metadata",
+    "NotFoundError",
+    "NotRunError",
+    "OPERATOR_ANNOTATION",
+    "OrderAnswer",
+    "OrderGuard",
+    "OrderRequest",
+    "Outcome",
+    "PartialAnswer",
+    "PartialBatch",
+    "Placement",
+    "PlacementRecord",
+    "PlatformError",
+    "PlatformUnavailableError",
+    "QuarantineRecord",
+    "QueryBatch",
+    "RETRYABLE",
+    "Reason",
+    "Record",
+    "RequestError",
+    "Resource",
+    "Search",
+    "SearchAnswer",
+    "SearchKind",
+    "SearchRequest",
+    "SearchSpec",
+    "SearchStatus",
+    "ServerBatch",
+    "ServerCondition",
+    "ServerOrder",
+    "ServerOrderReply",
+    "ServerRecord",
+    "ServerReply",
+    "ServerState",
+    "SettingsError",
+    "ShardAnswer",
+    "ShardQuery",
+    "ShardResult",
+    "Snapshot",
+    "Status",
+    "Target",
+    "Text",
+    "Ticket",
+    "UnknownOutcomeError",
+    "WarmUp",
+    "apply_delta",
+    "check_plain",
+    "complete_delta",
+    "compute_delta",
+    "create_clock",
+    "decode",
+    "decode_plain",
+    "encode",
+    "encode_plain",
+    "from_plain",
+    "to_camel_case",
+    "to_plain",
+    "to_seconds",
+]
--- /dev/null
+++ b/packages/model/cowslipvalve_model/_codec.py
@@ -0,0 +1,161 @@
+"""JSON encoding of attrs classes, with camel case field names."""
+
+import enum
+import functools
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import orjson
+from cattrs import gen
+from cattrs.preconf import orjson as cattrs_orjson
+
+from cowslipvalve_model import _errors
+
+_T = TypeVar("_T")
+
+
+def to_camel_case(name: str) -> str:
+    """Returns the JSON name of a field, such as maxConnections."""
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+def _check_scalar(value: Any, kind: type) -> Any:
+    """Refuses the conversions that Python's constructors would make."""
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise ValueError(f"expected {kind.__name__}, not {value!r:.60}")
+    return value
+
+
+def _add_attrs_hooks(
+    converter: cattrs.Converter, forbid_extra_keys: bool
+) -> None:
+    def make_structure(kind: type) -> Any:
+        names = {
+            field.name: gen.override(rename=to_camel_case(field.name))
+            for field in attrs.fields(kind)
+        }
+        return gen.make_dict_structure_fn(
+            kind,
+            converter,
+            _cattrs_forbid_extra_keys=forbid_extra_keys,
+            **names,
+        )
+
+    def make_unstructure(kind: type) -> Any:
+        names = {
+            field.name: gen.override(rename=to_camel_case(field.name))
+            for field in attrs.fields(kind)
+        }
+        return gen.make_dict_unstructure_fn(kind, converter, **names)
+
+    converter.register_structure_hook_factory(attrs.has, make_structure)
+    converter.register_unstructure_hook_factory(attrs.has, make_unstructure)
+
+
+def _create_converter(strict: bool) -> cattrs.Converter:
+    converter = cattrs_orjson.make_converter(detailed_validation=strict)
+    _add_attrs_hooks(converter, forbid_extra_keys=strict)
+    if strict:
+        for kind in (int, float, str, bool):
+            converter.register_structure_hook(kind, _check_scalar)
+    return converter
+
+
+# Documents written by people are checked field by field.
+_STRICT = _create_converter(strict=True)
+# Messages between processes tolerate fields that a newer release added.
+_FAST = _create_converter(strict=False)
+
+
+@functools.cache
+def _structure_hook(kind: Any) -> Any:
+    return _FAST.get_structure_hook(kind)
+
+
+@functools.cache
+def _unstructure_hook(kind: Any) -> Any:
+    return _FAST.get_unstructure_hook(kind)
+
+
+def to_plain(value: Any) -> Any:
+    """Returns the value as dicts, lists and scalars for JSON."""
+    return _unstructure_hook(type(value))(value)
+
+
+def from_plain(kind: type[_T], plain: Any) -> _T:
+    """Builds a value from plain JSON data that a process wrote.
+
+    Raises:
+      InputError: The data does not have the shape of the type.
+    """
+    try:
+        result: _T = _structure_hook(kind)(plain, kind)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise _errors.InputError(
+            f"not a {kind.__name__}: {error!r}", step="decode"
+        ) from error
+    except cattrs.BaseValidationError as error:
+        raise _errors.InputError(
+            f"not a {kind.__name__}: {error!r}", step="decode"
+        ) from error
+    return result
+
+
+def check_plain(kind: type[_T], plain: Any) -> _T:
+    """Builds a value from plain JSON data that a person wrote.
+
+    Raises:
+      InputError: A field is missing, unknown or of another type; the message
+        names each such field and what is wrong with it.
+    """
+    try:
+        return _STRICT.structure(plain, kind)
+    except cattrs.BaseValidationError as error:
+        reasons = "; ".join(cattrs.transform_error(error, path=""))
+        raise _errors.InputError(
+            reasons.replace("@ .", "at "), step="check-fields"
+        ) from error
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise _errors.InputError(str(error), step="check-fields") from error
+
+
+def encode(value: Any) -> bytes:
+    """Returns the JSON text of an attrs value."""
+    return orjson.dumps(to_plain(value))
+
+
+def encode_plain(plain: Any) -> bytes:
+    """Returns the JSON text of plain data, with sorted keys."""
+    return orjson.dumps(plain, option=orjson.OPT_SORT_KEYS)
+
+
+def decode(kind: type[_T], text: bytes) -> _T:
+    """Builds a value from the JSON text that a process wrote.
+
+    Raises:
+      InputError: The text is not JSON or does not have the type's shape.
+    """
+    return from_plain(kind, decode_plain(text))
+
+
+def decode_plain(text: bytes) -> Any:
+    """Returns the plain data of a JSON text.
+
+    Raises:
+      InputError: The text is not JSON.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise _errors.InputError(f"not JSON: {error}", step="decode") from error
+
+
+class Text(str, enum.Enum):
+    """Base of enumerations whose members are written as text."""
+
+    def __str__(self) -> str:
+        return str(self.value)
--- /dev/null
+++ b/packages/model/cowslipvalve_model/_outcomes.py
@@ -0,0 +1,66 @@
+"""What may become of a request."""
+
+from cowslipvalve_model import _codec
+
+
+class Outcome(_codec.Text):
+    """The three outcomes of a request or of one of its attempts."""
+
+    # It was run and its answer is here.
+    ANSWERED = "answered"
+    # No server has run it.
+    NOT_RUN = "not_run"
+    # It may have run.
+    UNKNOWN = "unknown"
+
+
+class Reason(_codec.Text):
+    """Why a request was not answered."""
+
+    NONE = ""
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_SEARCH = "unknown_search"
+    NO_CONFIGURATION = "no_configuration"
+    NO_SERVER = "no_server"
+    NOT_HOME = "not_home"
+    OUT = "out"
+    DRAINING = "draining"
+    SHED = "shed"
+    WARMING = "warming"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    SNAPSHOT_GONE = "snapshot_gone"
+    UNREACHABLE = "unreachable"
+    CONNECTION_LOST = "connection_lost"
+    MISMATCH = "mismatch"
+    QUARANTINED = "quarantined"
+    PLATFORM_AWAY = "platform_away"
+    LOW_COVERAGE = "low_coverage"
+    TICKET_VOID = "ticket_void"
+    ISSUER_GONE = "issuer_gone"
+    ALREADY_SENT = "already_sent"
+    STOPPING = "stopping"
+
+
+# Reasons for which the same request may do better a little later.
+RETRYABLE = frozenset(
+    {
+        Reason.NO_CONFIGURATION,
+        Reason.NO_SERVER,
+        Reason.NOT_HOME,
+        Reason.OUT,
+        Reason.DRAINING,
+        Reason.SHED,
+        Reason.WARMING,
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE,
+        Reason.SNAPSHOT_GONE,
+        Reason.UNREACHABLE,
+        Reason.CONNECTION_LOST,
+        Reason.MISMATCH,
+        Reason.PLATFORM_AWAY,
+        Reason.LOW_COVERAGE,
+        Reason.STOPPING,
+    }
+)
--- /dev/null
+++ b/packages/peers/cowslipvalve_peers/_exchanges.py
@@ -0,0 +1,86 @@
+"""The exchange of heartbeats and records between two hosts."""
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_peers import _leases
+from cowslipvalve_peers import _tables
+
+_MAX_ENTRIES = 500  # Bounds one message to some 200 kB.
+
+
+@attrs.frozen
+class _Peer:
+    """What is known of one peer's table."""
+
+    # The incarnation that the numbers speak of.
+    incarnation: int
+    # The peer has this host's changes up to here.
+    confirmed: int = 0
+    # This host has the peer's changes up to here.
+    received: int = 0
+
+
+class Exchange:
+    """Builds the messages to peers and takes in theirs."""
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        table: _tables.RecordTable,
+        leases: _leases.LeaseKeeper,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._table = table
+        self._leases = leases
+        self._peers: dict[str, _Peer] = {}
+
+    def build(
+        self, receiver: str, number: int, same_domain: bool
+    ) -> model.Heartbeat:
+        """Returns the message for a peer.
+
+        Args:
+          receiver: The peer's name, empty if it is not known yet.
+          number: The number of this host's accepted configuration.
+          same_domain: Whether the peer shares the leases of this host.
+        """
+        peer = self._peers.get(receiver, _Peer(0))
+        entries, sent = self._table.collect_changes(
+            peer.confirmed, receiver, _MAX_ENTRIES
+        )
+        return model.Heartbeat(
+            sender=self._host,
+            incarnation=self._incarnation,
+            number=number,
+            beats=self._leases.beats() if same_domain else (),
+            entries=entries,
+            receiver_incarnation=peer.incarnation,
+            received=peer.received,
+            sent=sent,
+        )
+
+    def merge(self, message: model.Heartbeat) -> None:
+        """Takes in the message of a peer."""
+        peer = self._peers.get(message.sender)
+        if peer is None or peer.incarnation < message.incarnation:
+            peer = _Peer(message.incarnation)
+        if message.incarnation < peer.incarnation:
+            return
+        if message.receiver_incarnation == self._incarnation:
+            peer = attrs.evolve(peer, confirmed=message.received)
+        self._table.merge(message.entries, message.sender)
+        self._leases.merge(message.beats)
+        self._peers[message.sender] = attrs.evolve(peer, received=message.sent)
+
+
+def create_exchange(
+    host: str,
+    incarnation: int,
+    table: _tables.RecordTable,
+    leases: _leases.LeaseKeeper,
+) -> Exchange:
+    """Returns the exchange of a host that has just started."""
+    return Exchange(host, incarnation, table, leases)
--- /dev/null
+++ b/packages/peers/cowslipvalve_peers/_tables.py
@@ -0,0 +1,121 @@
+"""The table of records that all hosts share."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+
+import cowslipvalve_model as model
+
+Key = tuple[str, str]
+
+
+def key_of(entry: model.Entry) -> Key:
+    """Returns the kind and name under which an entry is kept."""
+    if entry.host is not None:
+        return ("host", entry.host.host)
+    if entry.server is not None:
+        return ("server", entry.server.server)
+    if entry.placement is not None:
+        return (entry.placement.kind, entry.placement.name)
+    if entry.quarantine is not None:
+        return ("quarantine", entry.quarantine.fingerprint)
+    raise model.InputError("an entry holds no record", step="merge-entry")
+
+
+@attrs.frozen
+class _Stored:
+    """An entry and the local change at which it came in."""
+
+    entry: model.Entry
+    change: int
+    source: str
+
+
+def _precedes(old: model.Entry, new: model.Entry) -> bool:
+    if old.version != new.version:
+        return old.version < new.version
+    # Two hosts may write the same version; all hosts keep the same one.
+    return model.encode(old) < model.encode(new)
+
+
+class RecordTable:
+    """Keeps the newest version of each record and what each peer lacks.
+
+    Every change has a local number. A peer that confirms a number has all
+    changes up to it, so that only newer ones are sent to it.
+    """
+
+    def __init__(self) -> None:
+        self._stored: dict[Key, _Stored] = {}
+        self._by_change: dict[int, Key] = {}
+        self.change = 0
+        self._listeners: list[Callable[[model.Entry], None]] = []
+
+    def add_listener(self, listener: Callable[[model.Entry], None]) -> None:
+        """Calls the listener with each entry that came in or was written."""
+        self._listeners.append(listener)
+
+    def get(self, key: Key) -> model.Entry | None:
+        """Returns the entry of a key."""
+        stored = self._stored.get(key)
+        return stored.entry if stored else None
+
+    def entries(self, kind: str) -> Iterator[model.Entry]:
+        """Yields the entries of a kind."""
+        for key, stored in self._stored.items():
+            if key[0] == kind:
+                yield stored.entry
+
+    def write(self, entry: model.Entry) -> None:
+        """Stores a record of this host above any version that it knows."""
+        old = self.get(key_of(entry))
+        version = entry.version
+        if old is not None:
+            version = max(version, old.version + 1)
+        self._store(attrs.evolve(entry, version=version), source="")
+
+    def merge(self, entries: tuple[model.Entry, ...], source: str) -> None:
+        """Takes in the entries of a peer that are newer than those here."""
+        for entry in entries:
+            old = self.get(key_of(entry))
+            if old is None or _precedes(old, entry):
+                self._store(entry, source)
+
+    def collect_changes(
+        self, since: int, receiver: str, limit: int
+    ) -> tuple[tuple[model.Entry, ...], int]:
+        """Returns the entries that a peer lacks and the change they go up to.
+
+        Args:
+          since: The change up to which the peer has them all.
+          receiver: The peer, which is not sent what came from it.
+          limit: The most entries to return.
+        """
+        if since >= self.change:
+            return (), self.change
+        wanted = sorted(change for change in self._by_change if change > since)
+        entries = []
+        for change in wanted:
+            stored = self._stored[self._by_change[change]]
+            if stored.source == receiver:
+                continue
+            if len(entries) == limit:
+                return tuple(entries), change - 1
+            entries.append(stored.entry)
+        return tuple(entries), self.change
+
+    def _store(self, entry: model.Entry, source: str) -> None:
+        key = key_of(entry)
+        old = self._stored.get(key)
+        if old is not None:
+            self._by_change.pop(old.change, None)
+        self.change += 1
+        self._stored[key] = _Stored(entry, self.change, source)
+        self._by_change[self.change] = key
+        for listener in self._listeners:
+            listener(entry)
+
+
+def create_record_table() -> RecordTable:
+    """Returns an empty table."""
+    return RecordTable()
--- /dev/null
+++ b/packages/platform/cowslipvalve_platform/_claims.py
@@ -0,0 +1,185 @@
+"""Claims that keep an order from running twice."""
+
+import hashlib
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_platform import _client
+from cowslipvalve_platform import _objects
+
+CLAIM_KIND = "OrderClaim"
+
+
+@attrs.frozen(kw_only=True)
+class _ClaimSpec:
+    """Who may run the order."""
+
+    # The attempt that holds the claim.
+    attempt_id: str
+    # The name of the search.
+    search: str
+    # When it was claimed, in ms since the Unix epoch.
+    claimed_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class _ClaimStatus:
+    """What became of the order."""
+
+    # The attempt that this speaks of; another one than the claim's has been
+    # replaced, and its outcome is no longer the order's.
+    attempt_id: str = ""
+    # The outcome of the attempt, unknown until it is recorded.
+    outcome: model.Outcome = model.Outcome.UNKNOWN
+    # Why it was not answered.
+    reason: model.Reason = model.Reason.NONE
+    # What the server returned.
+    result: Any = None
+
+
+@attrs.frozen
+class Claim:
+    """The state of a claim after an attempt to take it."""
+
+    # Whether this attempt holds the claim and may run the order.
+    granted: bool
+    # The stored object.
+    item: _objects.StoredObject
+    # What the claim's holder recorded.
+    outcome: model.Outcome
+    # Why the holder's attempt was not answered.
+    reason: model.Reason
+    # What the server returned to the holder's attempt.
+    result: Any
+
+
+class ClaimStore:
+    """Takes claims and records what became of their orders.
+
+    A claim is never deleted here. A key stays used for as long as the
+    platform keeps the object.
+    """
+
+    def __init__(
+        self, client: _client.PlatformClient, clock: model.Clock
+    ) -> None:
+        self._client = client
+        self._clock = clock
+
+    async def take(self, search: str, key: str, attempt_id: str) -> Claim:
+        """Takes the claim of a key, or returns what its holder recorded.
+
+        Raises:
+          PlatformUnavailableError: It is not known who holds the claim; this
+            attempt does not, and must not run the order.
+        """
+        spec = _ClaimSpec(
+            attempt_id=attempt_id,
+            search=search,
+            claimed_ms=self._clock.wall_time_ms(),
+        )
+        item = _objects.create_object(
+            CLAIM_KIND, _name_claim(search, key), model.to_plain(spec)
+        )
+        try:
+            return _grant(await self._client.create(item))
+        except model.AlreadyExistsError:
+            existing = await self._client.get(CLAIM_KIND, item.metadata.name)
+        except model.PlatformUnavailableError:
+            existing = await self._read_back(item.metadata.name)
+        return await self._use_existing(existing, item, attempt_id)
+
+    async def record(
+        self,
+        claim: Claim,
+        outcome: model.Outcome,
+        reason: model.Reason,
+        result: Any,
+    ) -> None:
+        """Keeps the outcome for resends of the same key.
+
+        Raises:
+          PlatformError: It may not be kept; resends then get "unknown".
+        """
+        status = _ClaimStatus(
+            attempt_id=claim.item.spec["attemptId"],
+            outcome=outcome,
+            reason=reason,
+            result=result,
+        )
+        await self._client.update_status(
+            attrs.evolve(claim.item, status=model.to_plain(status))
+        )
+
+    async def _read_back(self, name: str) -> _objects.StoredObject:
+        try:
+            return await self._client.get(CLAIM_KIND, name)
+        except model.NotFoundError as error:
+            # The write may still be on its way, so nobody may run the order.
+            raise model.PlatformUnavailableError(
+                "the claim was not stored; send the order again",
+                step="take-claim",
+                peer=error.peer,
+            ) from error
+
+    async def _use_existing(
+        self,
+        existing: _objects.StoredObject,
+        wanted: _objects.StoredObject,
+        attempt_id: str,
+    ) -> Claim:
+        spec = model.from_plain(_ClaimSpec, existing.spec)
+        if spec.attempt_id == attempt_id:
+            return _grant(existing)
+        status = model.from_plain(_ClaimStatus, existing.status)
+        if status.attempt_id != spec.attempt_id:
+            status = _ClaimStatus()
+        if status.outcome is not model.Outcome.NOT_RUN:
+            return Claim(
+                False, existing, status.outcome, status.reason, status.result
+            )
+        return await self._retake(existing, wanted, attempt_id)
+
+    async def _retake(
+        self,
+        existing: _objects.StoredObject,
+        wanted: _objects.StoredObject,
+        attempt_id: str,
+    ) -> Claim:
+        """Takes over a claim whose holder recorded that it did not run."""
+        replacement = attrs.evolve(existing, spec=wanted.spec)
+        try:
+            return _grant(await self._client.update(replacement))
+        except model.ConflictError:
+            winner = await self._client.get(CLAIM_KIND, wanted.metadata.name)
+        except model.PlatformUnavailableError:
+            winner = await self._read_back(wanted.metadata.name)
+        if winner.spec.get("attemptId") == attempt_id:
+            return _grant(winner)
+        return Claim(
+            False,
+            winner,
+            model.Outcome.UNKNOWN,
+            model.Reason.ALREADY_SENT,
+            None,
+        )
+
+
+def _grant(item: _objects.StoredObject) -> Claim:
+    return Claim(
+        True, item, model.Outcome.UNKNOWN, model.Reason.ALREADY_SENT, None
+    )
+
+
+def _name_claim(search: str, key: str) -> str:
+    digest = hashlib.blake2b(f"{search}\0{key}".encode(), digest_size=16)
+    return digest.hexdigest()
+
+
+def create_claim_store(
+    client: _client.PlatformClient, clock: model.Clock
+) -> ClaimStore:
+    """Returns the store of claims."""
+    return ClaimStore(client, clock)
--- /dev/null
+++ b/packages/platform/cowslipvalve_platform/_client.py
@@ -0,0 +1,183 @@
+"""Client of the platform's object API."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+import cowslipvalve_model as model
+from cowslipvalve_platform import _objects
+
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+_HTTP_GONE = 410
+_HTTP_FIRST_ERROR = 400
+_HTTP_FIRST_SERVER_ERROR = 500
+_WATCH_IDLE_MS = 60_000  # The platform sends a line at least this often.
+_MAX_LINE_BYTES = 4 << 20
+
+
+class PlatformClient:
+    """Reads, writes and watches objects.
+
+    Every method raises PlatformUnavailableError when no answer came; a write
+    may then have taken effect, and its writer has to read back.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, timeout_ms: float
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(
+            total=model.to_seconds(timeout_ms)
+        )
+
+    async def list(self, kind: str) -> _objects.ObjectList:
+        """Returns all objects of a kind."""
+        plain = await self._call("GET", f"/objects/{kind}")
+        return model.from_plain(_objects.ObjectList, plain)
+
+    async def get(self, kind: str, name: str) -> _objects.StoredObject:
+        """Returns one object.
+
+        Raises:
+          NotFoundError: There is no such object.
+        """
+        plain = await self._call("GET", f"/objects/{kind}/{name}")
+        return model.from_plain(_objects.StoredObject, plain)
+
+    async def create(
+        self, item: _objects.StoredObject
+    ) -> _objects.StoredObject:
+        """Stores a new object.
+
+        Raises:
+          AlreadyExistsError: There is an object of that kind and name.
+        """
+        try:
+            plain = await self._call("POST", f"/objects/{item.kind}", item)
+        except model.ConflictError as error:
+            raise model.AlreadyExistsError(
+                str(error), step="create", peer=self._url
+            ) from error
+        return model.from_plain(_objects.StoredObject, plain)
+
+    async def update(
+        self, item: _objects.StoredObject
+    ) -> _objects.StoredObject:
+        """Replaces spec and annotations if the version is still the same.
+
+        Raises:
+          ConflictError: Someone else has written the object.
+          NotFoundError: There is no such object.
+        """
+        return await self._put(item, "")
+
+    async def update_status(
+        self, item: _objects.StoredObject
+    ) -> _objects.StoredObject:
+        """Replaces the status if the version is still the same.
+
+        Raises:
+          ConflictError: Someone else has written the object.
+          NotFoundError: There is no such object.
+        """
+        return await self._put(item, "/status")
+
+    async def delete(
+        self, kind: str, name: str, resource_version: int = 0
+    ) -> None:
+        """Deletes an object, of any version if none is given.
+
+        Raises:
+          ConflictError: Someone else has written the object.
+          NotFoundError: There is no such object.
+        """
+        await self._call(
+            "DELETE",
+            f"/objects/{kind}/{name}?resourceVersion={resource_version}",
+        )
+
+    async def list_hosts(self) -> tuple[_objects.ListedHost, ...]:
+        """Returns the platform's list of hosts, which lags."""
+        plain = await self._call("GET", "/hosts")
+        return model.from_plain(_objects.HostList, plain).items
+
+    async def watch(
+        self, kind: str, resource_version: int
+    ) -> AsyncIterator[_objects.WatchEvent]:
+        """Yields the changes of a kind after a version.
+
+        The iterator ends by an error only: NotFoundError when the version is
+        too old and the kind has to be listed again, and
+        PlatformUnavailableError when the platform is away.
+        """
+        path = f"/objects/{kind}?watch=1&resourceVersion={resource_version}"
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            connect=self._timeout.total,
+            sock_read=model.to_seconds(_WATCH_IDLE_MS),
+        )
+        try:
+            async with self._session.get(
+                self._url + path, timeout=timeout, read_bufsize=_MAX_LINE_BYTES
+            ) as response:
+                await self._check(response, "watch")
+                async for line in response.content:
+                    if line.strip():
+                        yield model.decode(_objects.WatchEvent, line)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise self._away("watch", error) from error
+        raise self._away("watch", "the platform ended the watch")
+
+    async def _put(
+        self, item: _objects.StoredObject, suffix: str
+    ) -> _objects.StoredObject:
+        path = f"/objects/{item.kind}/{item.metadata.name}{suffix}"
+        plain = await self._call("PUT", path, item)
+        return model.from_plain(_objects.StoredObject, plain)
+
+    async def _call(
+        self, method: str, path: str, item: _objects.StoredObject | None = None
+    ) -> Any:
+        body = None if item is None else model.encode(item)
+        step = f"{method} {path.split('?', maxsplit=1)[0]}"
+        try:
+            async with self._session.request(
+                method, self._url + path, data=body, timeout=self._timeout
+            ) as response:
+                await self._check(response, step)
+                return model.decode_plain(await response.read())
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise self._away(step, error) from error
+        except model.InputError as error:
+            raise self._away(step, error) from error
+
+    async def _check(self, response: aiohttp.ClientResponse, step: str) -> None:
+        if response.status < _HTTP_FIRST_ERROR:
+            return
+        text = (await response.text())[:200]
+        if response.status in (_HTTP_NOT_FOUND, _HTTP_GONE):
+            raise model.NotFoundError(text, step=step, peer=self._url)
+        if response.status == _HTTP_CONFLICT:
+            raise model.ConflictError(text, step=step, peer=self._url)
+        if response.status >= _HTTP_FIRST_SERVER_ERROR:
+            raise self._away(step, text)
+        raise model.PlatformError(
+            f"the platform refused the call: {text}", step=step, peer=self._url
+        )
+
+    def _away(self, step: str, cause: object) -> model.PlatformUnavailableError:
+        return model.PlatformUnavailableError(
+            f"the platform did not answer: {cause!r}",
+            step=step,
+            peer=self._url,
+        )
+
+
+def create_client(
+    session: aiohttp.ClientSession, url: str, timeout_ms: float = 2_000
+) -> PlatformClient:
+    """Returns a client of the platform at a URL."""
+    return PlatformClient(session, url, timeout_ms)
--- /dev/null
+++ b/packages/platform/cowslipvalve_platform/_configurations.py
@@ -0,0 +1,191 @@
+"""The accepted configuration as it is kept in the platform."""
+
+import contextlib
+import uuid
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_platform import _client
+from cowslipvalve_platform import _objects
+
+HEAD_KIND = "AcceptedConfiguration"
+PART_KIND = "ConfigurationPart"
+AUDIT_KIND = "AuditRecord"
+HEAD_NAME = "current"
+PART_BYTES = 700_000  # Values of the platform hold up to 1 MB with escapes.
+KEPT_CHANGES = 50  # Audit lines that wait in the head for their own object.
+
+
+@attrs.frozen(kw_only=True)
+class Head:
+    """The object that says which configuration is the accepted one."""
+
+    # The number of the accepted configuration.
+    number: int
+    # The attempt that wrote it, to recognize a write whose answer was lost.
+    attempt_id: str
+    # The names of the objects that hold its text, in order.
+    parts: tuple[str, ...]
+    # The audit lines of the newest changes.
+    changes: tuple[model.ConfigurationChange, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class _Part:
+    """A piece of the text of a configuration."""
+
+    # The piece.
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class StoredConfiguration:
+    """The accepted configuration and the version of its head."""
+
+    # The configuration.
+    configuration: model.Configuration
+    # The head that names it.
+    head: Head
+    # The version that the next head has to replace, zero if there is none.
+    resource_version: int
+
+
+class ConfigurationStore:
+    """Loads and commits the accepted configuration."""
+
+    def __init__(self, client: _client.PlatformClient) -> None:
+        self._client = client
+
+    async def load(self) -> StoredConfiguration:
+        """Returns the accepted configuration, number zero if there is none."""
+        try:
+            item = await self._client.get(HEAD_KIND, HEAD_NAME)
+        except model.NotFoundError:
+            head = Head(number=0, attempt_id="", parts=())
+            return StoredConfiguration(
+                configuration=model.Configuration(),
+                head=head,
+                resource_version=0,
+            )
+        head = model.from_plain(Head, item.spec)
+        text = ""
+        for name in head.parts:
+            stored = await self._client.get(PART_KIND, name)
+            text += model.from_plain(_Part, stored.spec).text
+        return StoredConfiguration(
+            configuration=model.decode(model.Configuration, text.encode()),
+            head=head,
+            resource_version=item.metadata.resource_version,
+        )
+
+    async def commit(
+        self,
+        old: StoredConfiguration,
+        configuration: model.Configuration,
+        changes: tuple[model.ConfigurationChange, ...],
+    ) -> StoredConfiguration:
+        """Makes a configuration the accepted one.
+
+        Raises:
+          ConflictError: Another host has committed since the load.
+          PlatformUnavailableError: It is not known whether the commit took
+            effect; the caller loads again.
+        """
+        attempt_id = uuid.uuid4().hex
+        parts = await self._write_parts(configuration, attempt_id)
+        head = Head(
+            number=configuration.number,
+            attempt_id=attempt_id,
+            parts=parts,
+            changes=(*old.head.changes, *changes)[-KEPT_CHANGES:],
+        )
+        try:
+            version = await self._write_head(head, old.resource_version)
+        except model.ConflictError:
+            await self._remove_parts(parts)
+            raise
+        await self._write_audit(changes)
+        await self._remove_parts(old.head.parts)
+        return StoredConfiguration(
+            configuration=configuration, head=head, resource_version=version
+        )
+
+    async def complete_audit(self, head: Head) -> None:
+        """Writes the audit records that a failed committer left out."""
+        await self._write_audit(head.changes)
+
+    async def _write_parts(
+        self, configuration: model.Configuration, attempt_id: str
+    ) -> tuple[str, ...]:
+        text = model.encode(configuration).decode()
+        pieces = [
+            text[start : start + PART_BYTES]
+            for start in range(0, len(text), PART_BYTES)
+        ]
+        names = []
+        for index, piece in enumerate(pieces):
+            name = f"{attempt_id}-{index}"
+            spec = model.to_plain(_Part(text=piece))
+            await self._client.create(
+                _objects.create_object(PART_KIND, name, spec)
+            )
+            names.append(name)
+        return tuple(names)
+
+    async def _write_head(self, head: Head, resource_version: int) -> int:
+        item = _objects.create_object(
+            HEAD_KIND, HEAD_NAME, model.to_plain(head)
+        )
+        try:
+            if resource_version == 0:
+                stored = await self._client.create(item)
+            else:
+                metadata = attrs.evolve(
+                    item.metadata, resource_version=resource_version
+                )
+                stored = await self._client.update(
+                    attrs.evolve(item, metadata=metadata)
+                )
+        except model.AlreadyExistsError as error:
+            raise model.ConflictError(
+                str(error), step="commit-configuration", peer=error.peer
+            ) from error
+        except model.PlatformUnavailableError:
+            stored = await self._read_back(head.attempt_id)
+        return stored.metadata.resource_version
+
+    async def _read_back(self, attempt_id: str) -> _objects.StoredObject:
+        """Returns the head if the write with the lost answer made it."""
+        stored = await self._client.get(HEAD_KIND, HEAD_NAME)
+        if stored.spec.get("attemptId") != attempt_id:
+            raise model.ConflictError(
+                "another configuration was committed, or none was",
+                step="commit-configuration",
+            )
+        return stored
+
+    async def _write_audit(
+        self, changes: tuple[model.ConfigurationChange, ...]
+    ) -> None:
+        for change in changes:
+            name = f"{change.number:08d}-{change.kind.lower()}-{change.name}"
+            item = _objects.create_object(
+                AUDIT_KIND, name, model.to_plain(change)
+            )
+            # The head keeps the line, so that the next commit writes it.
+            with contextlib.suppress(model.PlatformError):
+                await self._client.create(item)
+
+    async def _remove_parts(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            # A part that stays behind is never read again.
+            with contextlib.suppress(model.PlatformError):
+                await self._client.delete(PART_KIND, name)
+
+
+def create_configuration_store(
+    client: _client.PlatformClient,
+) -> ConfigurationStore:
+    """Returns the store of the accepted configuration."""
+    return ConfigurationStore(client)
--- /dev/null
+++ b/packages/policy/cowslipvalve_policy/_fingerprints.py
@@ -0,0 +1,93 @@
+"""Names of request bodies and what is known of them."""
+
+import collections
+import hashlib
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+
+_KEPT_BODIES = 100_000
+
+
+def compute_fingerprint(search: str, body: Any) -> str:
+    """Returns the name of a body, equal for equal bodies of a search."""
+    digest = hashlib.blake2b(search.encode() + b"\0", digest_size=16)
+    digest.update(model.encode_plain(body))
+    return digest.hexdigest()
+
+
+class KnownBodies:
+    """Bodies that have run without harm, the latest used ones."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._names: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def __contains__(self, fingerprint: str) -> bool:
+        return fingerprint in self._names
+
+    def add(self, fingerprint: str) -> None:
+        """Notes that a body was answered."""
+        self._names[fingerprint] = None
+        self._names.move_to_end(fingerprint)
+        if len(self._names) > self._limit:
+            self._names.popitem(last=False)
+
+    def discard(self, fingerprint: str) -> None:
+        """Notes that a body may crash servers."""
+        self._names.pop(fingerprint, None)
+
+
+@attrs.frozen
+class Strikes:
+    """The lost connections that a body is suspected of."""
+
+    # The servers whose connections were lost while they ran it.
+    servers: tuple[str, ...] = ()
+    # Whether it ran alone when the last connection was lost.
+    alone: bool = False
+
+    @property
+    def is_proven(self) -> bool:
+        """Whether the body, and no neighbour of it, crashes servers."""
+        return len(self.servers) > 1 and self.alone
+
+
+class CrashRecord:
+    """Counts lost connections against the bodies that were running.
+
+    A first loss makes every running body a suspect. Suspects run alone, so
+    that a second loss has one cause. An answer clears a suspect.
+    """
+
+    def __init__(self) -> None:
+        self._strikes: dict[str, Strikes] = {}
+
+    def add(self, fingerprint: str, server: str, alone: bool) -> Strikes:
+        """Counts a lost connection and returns all that is known."""
+        old = self._strikes.get(fingerprint, Strikes())
+        strikes = Strikes((*old.servers, server), alone)
+        self._strikes[fingerprint] = strikes
+        return strikes
+
+    def get(self, fingerprint: str) -> Strikes:
+        """Returns the lost connections of a body."""
+        return self._strikes.get(fingerprint, Strikes())
+
+    def clear(self, fingerprint: str) -> None:
+        """Notes that a server has answered the body."""
+        self._strikes.pop(fingerprint, None)
+
+
+def create_known_bodies(limit: int = _KEPT_BODIES) -> KnownBodies:
+    """Returns an empty set of harmless bodies."""
+    return KnownBodies(limit)
+
+
+def create_crash_record() -> CrashRecord:
+    """Returns a record without strikes."""
+    return CrashRecord()
--- /dev/null
+++ b/packages/policy/cowslipvalve_policy/_rendezvous.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing."""
+
+import functools
+import hashlib
+from collections.abc import Iterable
+
+
+@functools.lru_cache(maxsize=1 << 16)
+def _weigh(name: str, key: str) -> int:
+    digest = hashlib.blake2b(f"{name}\0{key}".encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def rank_names(names: Iterable[str], key: str) -> tuple[str, ...]:
+    """Returns the names in the order in which they are to serve a key.
+
+    Removing a name moves only the keys that it served.
+    """
+    return tuple(sorted(names, key=lambda name: (_weigh(name, key), name)))
+
+
+def choose_name(names: Iterable[str], key: str) -> str | None:
+    """Returns the first of the ranked names, none if there are none."""
+    return min(names, key=lambda name: (_weigh(name, key), name), default=None)
--- /dev/null
+++ b/standins/cowslipvalve_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins and the programs that use them."""
--- /dev/null
+++ b/standins/cowslipvalve_standins/_data.py
@@ -0,0 +1,49 @@
+"""The documents that stand-in servers find, the same for every replica."""
+
+import hashlib
+import heapq
+
+import cowslipvalve_model as model
+
+DOCUMENTS_PER_SHARD = 20
+
+
+def find_hits(
+    snapshot: model.Snapshot, index: int, text: str, count: int
+) -> tuple[model.Hit, ...]:
+    """Returns the best hits of one shard for a query text."""
+    hits = [
+        _create_hit(snapshot, index, number, text)
+        for number in range(DOCUMENTS_PER_SHARD)
+    ]
+    return _choose_best(hits, count)
+
+
+def find_all_hits(
+    snapshot: model.Snapshot, text: str, count: int
+) -> tuple[model.Hit, ...]:
+    """Returns the best hits of all shards, which a whole answer holds."""
+    hits = [
+        hit
+        for index in range(snapshot.count)
+        for hit in find_hits(snapshot, index, text, count)
+    ]
+    return _choose_best(hits, count)
+
+
+def _create_hit(
+    snapshot: model.Snapshot, index: int, number: int, text: str
+) -> model.Hit:
+    name = f"{snapshot.search}-{snapshot.number}-{index}-{number}"
+    digest = hashlib.blake2b(f"{name}\0{text}".encode(), digest_size=4)
+    score = int.from_bytes(digest.digest(), "big") / 2**32
+    return model.Hit(
+        name, round(score, 6), index, {"snapshot": snapshot.number}
+    )
+
+
+def _choose_best(hits: list[model.Hit], count: int) -> tuple[model.Hit, ...]:
+    best = heapq.nsmallest(
+        count, hits, key=lambda hit: (-hit.score, hit.shard, hit.id)
+    )
+    return tuple(best)
--- /dev/null
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -0,0 +1,305 @@
+"""Runs a platform, servers and daemons as processes of this machine."""
+
+import asyncio
+import pathlib
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_standins import _server
+
+_READY_TIMEOUT_MS = 30_000
+_POLL_MS = 50
+_STOP_TIMEOUT_S = 45.0
+_LOCAL = "127.0.0.1"
+
+
+def choose_ports(count: int) -> list[int]:
+    """Returns free ports of this machine."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            item.bind((_LOCAL, 0))
+        return [int(item.getsockname()[1]) for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@attrs.frozen(kw_only=True)
+class HostShape:
+    """One entry host."""
+
+    # The name of the host.
+    name: str
+    # The failure domain that it is in.
+    failure_domain: str
+    # The region of that domain.
+    region: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class DeploymentShape:
+    """What runs in a deployment."""
+
+    # The entry hosts.
+    hosts: tuple[HostShape, ...]
+    # The backend servers and the domains that they are in.
+    servers: tuple[tuple[str, _server.ServerShape], ...]
+    # The resources that operators have written.
+    resources: tuple[platform.StoredObject, ...]
+    # Settings that all hosts have besides their addresses.
+    settings: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class _Host:
+    """A running host."""
+
+    shape: HostShape
+    caller_port: int
+    peer_port: int
+    operations_port: int
+    process: asyncio.subprocess.Process | None = None
+
+
+class Deployment:
+    """A running deployment; used as an async context manager."""
+
+    def __init__(self, shape: DeploymentShape) -> None:
+        self.shape = shape
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="cowslipvalve-"))
+        ports = choose_ports(3 * len(shape.hosts) + 1)
+        self.platform_port = ports.pop()
+        self.platform_url = f"http://{_LOCAL}:{self.platform_port}"
+        self.hosts = {
+            host.name: _Host(host, ports.pop(), ports.pop(), ports.pop())
+            for host in shape.hosts
+        }
+        self.addresses = {s.name: s.address for _, s in shape.servers}
+        self._processes: list[asyncio.subprocess.Process] = []
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        self.client = platform.create_client(self.session, self.platform_url)
+
+    async def __aenter__(self) -> "Deployment":
+        try:
+            await self._start_standins()
+            for resource in self.shape.resources:
+                await self.client.create(resource)
+            for name in self.hosts:
+                await self.start_host(name)
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Ends all processes that are still running."""
+        for host in self.hosts.values():
+            if host.process is not None:
+                self._processes.append(host.process)
+        for process in self._processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self._processes:
+            await process.wait()
+        await self.session.close()
+        shutil.rmtree(self.directory, ignore_errors=True)
+
+    async def start_host(self, name: str, **settings: Any) -> None:
+        """Starts the daemon of a host."""
+        host = self.hosts[name]
+        path = self.directory / f"{name}.json"
+        path.write_bytes(orjson.dumps({**self._settings(host), **settings}))
+        host.process = await self._start(
+            "cowslipvalve_daemon", str(path), log=self.log_path(name)
+        )
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Returns the file that holds the logs of a process."""
+        return self.directory / f"{name}.log"
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a host's process."""
+        process = self.hosts[name].process
+        assert process is not None
+        process.send_signal(number)
+
+    async def wait_for_exit(self, name: str) -> int:
+        """Waits until a host's process has ended and returns its status."""
+        process = self.hosts[name].process
+        assert process is not None
+        return await asyncio.wait_for(process.wait(), _STOP_TIMEOUT_S)
+
+    async def kill_host(self, name: str) -> None:
+        """Ends a host's process without warning."""
+        self.send_signal(name, signal.SIGKILL)
+        await self.wait_for_exit(name)
+
+    async def wait_until_ready(
+        self, names: Iterable[str] = (), search: str = ""
+    ) -> None:
+        """Waits until hosts take requests, and a search is whole and warm."""
+        deadline = asyncio.get_running_loop().time() + model.to_seconds(
+            _READY_TIMEOUT_MS
+        )
+        for name in names or self.hosts:
+            while not await self._is_ready(name, search):
+                if asyncio.get_running_loop().time() > deadline:
+                    raise TimeoutError(f"{name} did not get ready")
+                await asyncio.sleep(model.to_seconds(_POLL_MS))
+
+    async def query(
+        self, host: str, search: str, text: str, **fields: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Sends a read request to a host; returns the status and the answer."""
+        body = {"query": {"text": text}, **fields}
+        return await self.post(host, f"/v1/searches/{search}/query", body)
+
+    async def post(
+        self, host: str, path: str, body: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Sends a caller's request; returns the status and the answer."""
+        port = self.hosts[host].caller_port
+        async with self.session.post(
+            f"http://{_LOCAL}:{port}{path}", data=orjson.dumps(body)
+        ) as response:
+            return response.status, orjson.loads(await response.read())
+
+    async def put_server(self, name: str, path: str, plain: Any) -> None:
+        """Switches a fault or the shards of a server."""
+        await self._request("PUT", self.addresses[name], path, plain)
+
+    async def post_server(self, name: str, path: str) -> None:
+        """Does something to a server."""
+        try:
+            await self._request("POST", self.addresses[name], path, {})
+        except aiohttp.ClientError:
+            # A crashing server does not answer.
+            return
+
+    async def server_stats(self, name: str) -> dict[str, Any]:
+        """Returns what a server has done."""
+        return await self._request("GET", self.addresses[name], "/stats", None)
+
+    async def put_platform_faults(self, **faults: Any) -> None:
+        """Switches faults of the platform."""
+        await self._request(
+            "PUT", f"{_LOCAL}:{self.platform_port}", "/faults", faults
+        )
+
+    async def platform_calls(self) -> dict[str, int]:
+        """Returns how often each call of the platform was made."""
+        return await self._request(
+            "GET", f"{_LOCAL}:{self.platform_port}", "/calls", None
+        )
+
+    async def _request(
+        self, method: str, address: str, path: str, plain: Any
+    ) -> dict[str, Any]:
+        data = None if plain is None else orjson.dumps(plain)
+        async with self.session.request(
+            method, f"http://{address}{path}", data=data
+        ) as response:
+            text = await response.read()
+            result: dict[str, Any] = orjson.loads(text) if text else {}
+            return result
+
+    async def _is_ready(self, name: str, search: str) -> bool:
+        port = self.hosts[name].operations_port
+        try:
+            async with self.session.get(
+                f"http://{_LOCAL}:{port}/readyz"
+            ) as response:
+                if response.status != 200:  # noqa: PLR2004
+                    return False
+            if not search:
+                return True
+            status, answer = await self.query(name, search, "ready")
+            return status == 200 and not answer["coverage"]["missing"]  # noqa: PLR2004
+        except aiohttp.ClientError:
+            return False
+
+    async def _start_standins(self) -> None:
+        self._processes.append(
+            await self._start(
+                "cowslipvalve_standins.platform",
+                str(self.platform_port),
+                log=self.log_path("platform"),
+            )
+        )
+        shapes = [model.to_plain(shape) for _, shape in self.shape.servers]
+        path = self.directory / "servers.json"
+        path.write_bytes(orjson.dumps(shapes))
+        self._processes.append(
+            await self._start(
+                "cowslipvalve_standins.servers",
+                str(path),
+                log=self.log_path("servers"),
+            )
+        )
+        await self._wait_for_port(self.platform_port)
+        await self._wait_for_port(int(self._last_server_port()))
+        listed = [
+            {
+                "name": h.shape.name,
+                "address": f"{_LOCAL}:{h.peer_port}",
+                "state": "live",
+            }
+            for h in self.hosts.values()
+        ]
+        await self._request(
+            "PUT", f"{_LOCAL}:{self.platform_port}", "/hosts", listed
+        )
+
+    def _last_server_port(self) -> str:
+        return self.shape.servers[-1][1].address.rpartition(":")[2]
+
+    async def _wait_for_port(self, port: int) -> None:
+        for _ in range(_READY_TIMEOUT_MS // _POLL_MS):
+            try:
+                _, writer = await asyncio.open_connection(_LOCAL, port)
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(model.to_seconds(_POLL_MS))
+        raise TimeoutError(f"port {port} did not open")
+
+    async def _start(
+        self, module: str, *arguments: str, log: pathlib.Path
+    ) -> asyncio.subprocess.Process:
+        with log.open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, *arguments,
+                stdout=output, stderr=output,
+            )  # fmt: skip
+
+    def _settings(self, host: _Host) -> dict[str, Any]:
+        seeds: Sequence[_Host] = list(self.hosts.values())[:3]
+        return {
+            "host": host.shape.name,
+            "failureDomain": host.shape.failure_domain,
+            "region": host.shape.region,
+            "callerAddress": f"{_LOCAL}:{host.caller_port}",
+            "peerAddress": f"{_LOCAL}:{host.peer_port}",
+            "operationsAddress": f"{_LOCAL}:{host.operations_port}",
+            "platformUrl": self.platform_url,
+            "peers": [f"{_LOCAL}:{seed.peer_port}" for seed in seeds],
+            **self.shape.settings,
+        }
--- /dev/null
+++ b/standins/cowslipvalve_standins/_platform.py
@@ -0,0 +1,265 @@
+"""A stand-in for the platform's object API and its list of hosts.
+
+Faults are switched by PUT /faults with a JSON object of the fields of Faults.
+"""
+
+import asyncio
+import collections
+import itertools
+import time
+from typing import Any
+
+import attrs
+import orjson
+from aiohttp import web
+
+_IDLE_S = 15.0
+_MAX_VALUE_BYTES = 1_000_000
+_KEPT_EVENTS = 10_000
+_MS_PER_SECOND = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """What goes wrong, until it is switched off."""
+
+    # Whether connections are closed without an answer.
+    away: bool = False
+    # The delay before each answer, in ms.
+    delay_ms: float = 0.0
+    # The number of writes still to come whose answers are lost.
+    lost_answers: int = 0
+    # The lag of the list of hosts, in ms.
+    host_lag_ms: float = 2_000.0
+
+
+class Platform:
+    """The objects, their versions, and the calls that were made."""
+
+    def __init__(self) -> None:
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._versions = itertools.count(1)
+        self._version = 0
+        self._events: collections.deque[tuple[int, str, bytes]] = (
+            collections.deque(maxlen=_KEPT_EVENTS)
+        )
+        self._changed = asyncio.Event()
+        self._hosts: list[tuple[float, list[dict[str, str]]]] = []
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._watches: set[web.StreamResponse] = set()
+        self.faults = Faults()
+
+    def create_app(self) -> web.Application:
+        """Returns the application with all routes."""
+        app = web.Application(
+            middlewares=[self._apply_faults], client_max_size=4 << 20
+        )
+        add = app.router.add_route
+        add("GET", "/objects/{kind}", self._list_or_watch)
+        add("POST", "/objects/{kind}", self._create)
+        add("GET", "/objects/{kind}/{name}", self._get)
+        add("PUT", "/objects/{kind}/{name}", self._update)
+        add("PUT", "/objects/{kind}/{name}/status", self._update_status)
+        add("DELETE", "/objects/{kind}/{name}", self._delete)
+        add("GET", "/hosts", self._list_hosts)
+        add("PUT", "/hosts", self._put_hosts)
+        add("PUT", "/faults", self._put_faults)
+        add("GET", "/calls", self._get_calls)
+        return app
+
+    @web.middleware
+    async def _apply_faults(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if request.path in ("/faults", "/calls") or (
+            request.path == "/hosts" and request.method == "PUT"
+        ):
+            return await _run(handler, request)
+        self._count(request)
+        if self.faults.away:
+            return _lose_answer(request)
+        await asyncio.sleep(self.faults.delay_ms / _MS_PER_SECOND)
+        response = await _run(handler, request)
+        if request.method != "GET" and self.faults.lost_answers > 0:
+            left = self.faults.lost_answers - 1
+            self.faults = attrs.evolve(self.faults, lost_answers=left)
+            return _lose_answer(request)
+        return response
+
+    def _count(self, request: web.Request) -> None:
+        kind = request.match_info.get("kind", "hosts")
+        method = "WATCH" if "watch" in request.query else request.method
+        self._calls[f"{method} {kind}"] += 1
+
+    async def _list_or_watch(self, request: web.Request) -> web.StreamResponse:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        items = [
+            item
+            for (its_kind, _), item in sorted(self._objects.items())
+            if its_kind == kind
+        ]
+        return _respond({"items": items, "resourceVersion": self._version})
+
+    async def _watch(
+        self, request: web.Request, kind: str
+    ) -> web.StreamResponse:
+        version = int(request.query["resourceVersion"])
+        if self._events and self._events[0][0] > version + 1:
+            if len(self._events) == _KEPT_EVENTS:
+                raise web.HTTPGone(text="that version is too old")
+        response = web.StreamResponse()
+        await response.prepare(request)
+        self._watches.add(response)
+        try:
+            while not self.faults.away:
+                changed = self._changed
+                version = await self._send_events(response, kind, version)
+                try:
+                    await asyncio.wait_for(changed.wait(), _IDLE_S)
+                except TimeoutError:
+                    await response.write(b"\n")
+        except ConnectionError:
+            pass
+        finally:
+            self._watches.discard(response)
+        return response
+
+    async def _send_events(
+        self, response: web.StreamResponse, kind: str, version: int
+    ) -> int:
+        for number, its_kind, line in list(self._events):
+            if number <= version:
+                continue
+            if its_kind == kind:
+                await response.write(line)
+            version = number
+        return version
+
+    async def _get(self, request: web.Request) -> web.Response:
+        return _respond(self._find(request))
+
+    async def _create(self, request: web.Request) -> web.Response:
+        item = await _read(request)
+        key = (request.match_info["kind"], item["metadata"]["name"])
+        if key in self._objects:
+            raise web.HTTPConflict(text="it exists already")
+        item["metadata"]["generation"] = 1
+        return self._store(key, item, "ADDED")
+
+    async def _update(self, request: web.Request) -> web.Response:
+        old = self._find(request)
+        new = await _read(request)
+        _check_version(old, new["metadata"]["resourceVersion"])
+        new["status"] = old["status"]
+        generation = old["metadata"]["generation"]
+        if new["spec"] != old["spec"]:
+            generation += 1
+        new["metadata"]["generation"] = generation
+        return self._store(_key(request), new, "MODIFIED")
+
+    async def _update_status(self, request: web.Request) -> web.Response:
+        old = self._find(request)
+        new = await _read(request)
+        _check_version(old, new["metadata"]["resourceVersion"])
+        item = {**old, "metadata": dict(old["metadata"])}
+        item["status"] = new["status"]
+        return self._store(_key(request), item, "MODIFIED")
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        old = self._find(request)
+        version = int(request.query.get("resourceVersion", "0"))
+        if version:
+            _check_version(old, version)
+        del self._objects[_key(request)]
+        self._add_event(request.match_info["kind"], "DELETED", old)
+        return _respond({})
+
+    async def _list_hosts(self, _request: web.Request) -> web.Response:
+        now = time.monotonic()
+        lag = self.faults.host_lag_ms / _MS_PER_SECOND
+        visible = [hosts for at, hosts in self._hosts if at <= now - lag]
+        return _respond({"items": visible[-1] if visible else []})
+
+    async def _put_hosts(self, request: web.Request) -> web.Response:
+        self._hosts.append((time.monotonic(), await _read(request)))
+        return _respond({})
+
+    async def _put_faults(self, request: web.Request) -> web.Response:
+        self.faults = attrs.evolve(self.faults, **await _read(request))
+        self._wake_watches()
+        if self.faults.away:
+            for watch in list(self._watches):
+                if watch._req is not None and watch._req.transport:  # noqa: SLF001
+                    watch._req.transport.abort()  # noqa: SLF001
+        return _respond(attrs.asdict(self.faults))
+
+    async def _get_calls(self, _request: web.Request) -> web.Response:
+        return _respond({**self._calls, "open watches": len(self._watches)})
+
+    def _find(self, request: web.Request) -> dict[str, Any]:
+        item = self._objects.get(_key(request))
+        if item is None:
+            raise web.HTTPNotFound(text="there is no such object")
+        return item
+
+    def _store(
+        self, key: tuple[str, str], item: dict[str, Any], event: str
+    ) -> web.Response:
+        if len(orjson.dumps(item)) > _MAX_VALUE_BYTES:
+            raise web.HTTPRequestEntityTooLarge(_MAX_VALUE_BYTES, 0)
+        version = next(self._versions)
+        item["metadata"]["resourceVersion"] = version
+        self._objects[key] = item
+        self._add_event(key[0], event, item)
+        return _respond(item)
+
+    def _add_event(self, kind: str, event: str, item: dict[str, Any]) -> None:
+        self._version = max(
+            self._version + 1, item["metadata"]["resourceVersion"]
+        )
+        self._versions = itertools.count(self._version + 1)
+        line = orjson.dumps({"type": event, "object": item}) + b"\n"
+        self._events.append((self._version, kind, line))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+async def _run(handler: Any, request: web.Request) -> web.StreamResponse:
+    response: web.StreamResponse = await handler(request)
+    return response
+
+
+async def _read(request: web.Request) -> Any:
+    return orjson.loads(await request.read())
+
+
+def _respond(plain: Any) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(plain), content_type="application/json"
+    )
+
+
+def _lose_answer(request: web.Request) -> web.Response:
+    """Closes the connection, so that the answer never arrives."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def _key(request: web.Request) -> tuple[str, str]:
+    return request.match_info["kind"], request.match_info["name"]
+
+
+def _check_version(old: dict[str, Any], version: int) -> None:
+    if old["metadata"]["resourceVersion"] != version:
+        raise web.HTTPConflict(text="it was changed by another writer")
+
+
+def create_platform() -> Platform:
+    """Returns a platform without objects."""
+    return Platform()
