--- /dev/null
+++ b/standins/cowslipvalve_standins/_server.py
@@ -0,0 +1,358 @@
+"""A stand-in for a backend server.
+
+Faults are switched by PUT /faults with a JSON object of the fields of Faults,
+and PUT /holdings replaces the shards. GET /stats tells what was done.
+"""
+
+import asyncio
+import collections
+import random
+import uuid
+from typing import Any
+
+import attrs
+import orjson
+from aiohttp import web
+
+import cowslipvalve_model as model
+from cowslipvalve_standins import _data
+from cowslipvalve_standins import _warmth
+
+_MAX_WAITING = 200
+_MS_PER_SECOND = 1_000
+_HANG_S = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class ServerShape:
+    """What a stand-in server is like."""
+
+    # The name of the server.
+    name: str
+    # Where it listens.
+    address: str
+    # The shards it holds at the start.
+    holdings: tuple[model.Holding, ...]
+    # The number of batches that run at a time.
+    slots: int = 2
+    # The number of connections that it takes.
+    max_connections: int = 25
+    # The time of a new connection, in ms.
+    connect_ms: float = 6.0
+    # The time of a batch, in ms.
+    batch_ms: float = 2.0
+    # The time of each query in a batch, in ms.
+    query_ms: float = 1.0
+    # The rate that it bears when cold, in queries a second.
+    initial_rate: float = 10.0
+    # The rate from which on it is warm.
+    full_rate: float = 160.0
+    # The time in which the borne rate doubles, in ms.
+    doubling_ms: float = 500.0
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """What goes wrong, until it is switched off."""
+
+    # The extra time of a straggling batch, in ms.
+    straggle_ms: float = 0.0
+    # The share of batches that straggle.
+    straggle_share: float = 1.0
+    # Whether all requests are refused for load.
+    shed: bool = False
+    # Whether all requests are refused for a shutdown.
+    draining: bool = False
+    # Whether the state endpoint hides draining.
+    lies: bool = False
+    # A query or order whose text holds this crashes the server.
+    crash_on: str = ""
+    # Answers speak of another shard than the one that was asked.
+    wrong_shard: bool = False
+    # Answers lack their last hit.
+    cut_hits: bool = False
+    # The text of an answer ends in the middle.
+    cut_text: bool = False
+    # Answers carry each other's or an older attempt's id.
+    crossed: bool = False
+    # The connection is lost: "" never, "before" or "after" the work.
+    lose: str = ""
+    # Whether requests are taken and never answered.
+    hang: bool = False
+
+
+@attrs.define
+class _Stats:
+    """What the server has done since it was made."""
+
+    queries: int = 0
+    orders: dict[str, int] = attrs.field(factory=dict)
+    crashes: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    connections: int = 0
+    refused_connections: int = 0
+    max_running: int = 0
+    overruns: int = 0
+    expired: int = 0
+
+
+class Server:
+    """One stand-in server on its own port."""
+
+    def __init__(self, shape: ServerShape) -> None:
+        self._shape = shape
+        self._holdings = {h.snapshot: set(h.indices) for h in shape.holdings}
+        self._boot_id = uuid.uuid4().hex
+        self._faults = Faults()
+        self._stats = _Stats()
+        self._slots = asyncio.Semaphore(shape.slots)
+        self._running = 0
+        self._waiting = 0
+        self._connections: dict[Any, asyncio.Transport] = {}
+        self._cancelled: collections.deque[str] = collections.deque(maxlen=500)
+        self._last_attempt = "none"
+        self._random = random.Random(shape.name)
+        self._warmth = _warmth.create_warmth(
+            shape.initial_rate, shape.full_rate, shape.doubling_ms
+        )
+
+    def create_app(self) -> web.Application:
+        """Returns the application with all routes."""
+        app = web.Application(
+            middlewares=[self._take_connection], client_max_size=16 << 20
+        )
+        add = app.router.add_route
+        add("POST", "/query", self._query)
+        add("POST", "/order", self._order)
+        add("POST", "/cancel", self._cancel)
+        add("GET", "/state", self._state)
+        add("PUT", "/holdings", self._put_holdings)
+        add("PUT", "/faults", self._put_faults)
+        add("POST", "/crash", self._post_crash)
+        add("POST", "/cool", self._post_cool)
+        add("GET", "/stats", self._get_stats)
+        return app
+
+    @web.middleware
+    async def _take_connection(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if request.path in ("/query", "/order"):
+            await self._count_connection(request)
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    async def _count_connection(self, request: web.Request) -> None:
+        transport = request.transport
+        if transport is None or transport in self._connections:
+            return
+        self._connections = {
+            known: known
+            for known in self._connections
+            if not known.is_closing()
+        }
+        if len(self._connections) >= self._shape.max_connections:
+            self._stats.refused_connections += 1
+            transport.abort()
+            return
+        self._stats.connections += 1
+        self._connections[transport] = transport
+        await asyncio.sleep(self._shape.connect_ms / _MS_PER_SECOND)
+
+    async def _query(self, request: web.Request) -> web.StreamResponse:
+        batch = model.decode(model.ServerBatch, await request.read())
+        refusal = self._refusal(len(batch.queries))
+        if refusal is not model.Reason.NONE:
+            answers = tuple(_refuse(query, refusal) for query in batch.queries)
+            return self._reply(answers)
+        if self._must_crash(str([query.body for query in batch.queries])):
+            return self._crash(request)
+        if self._faults.hang:
+            await asyncio.sleep(_HANG_S)
+        if self._faults.lose == "before":
+            return _lose_answer(request)
+        per_query_ms = self._shape.query_ms * len(batch.queries)
+        await self._work(self._shape.batch_ms + per_query_ms)
+        if request.transport is None or request.transport.is_closing():
+            self._stats.cancelled += 1
+        answers = tuple(self._answer(query) for query in batch.queries)
+        if self._faults.lose == "after":
+            return _lose_answer(request)
+        return self._reply(answers)
+
+    async def _order(self, request: web.Request) -> web.StreamResponse:
+        order = model.decode(model.ServerOrder, await request.read())
+        reason = self._refusal(1)
+        if reason is not model.Reason.NONE:
+            return _respond(
+                model.ServerOrderReply(
+                    self._boot_id,
+                    order.request_id,
+                    order.attempt_id,
+                    model.Outcome.NOT_RUN,
+                    reason,
+                )
+            )
+        if self._must_crash(str(order.body)):
+            return self._crash(request)
+        if self._faults.lose == "before":
+            return _lose_answer(request)
+        name = str(order.body.get("id", ""))
+        self._stats.orders[name] = self._stats.orders.get(name, 0) + 1
+        await self._work(self._shape.batch_ms + self._shape.query_ms)
+        if self._faults.hang:
+            await asyncio.sleep(_HANG_S)
+        if self._faults.lose == "after":
+            return _lose_answer(request)
+        return _respond(
+            model.ServerOrderReply(
+                self._boot_id,
+                order.request_id,
+                order.attempt_id,
+                model.Outcome.ANSWERED,
+                result={"accepted": name, "server": self._shape.name},
+            )
+        )
+
+    def _refusal(self, queries: int) -> model.Reason:
+        if self._faults.draining:
+            return model.Reason.DRAINING
+        if self._faults.shed or self._waiting >= _MAX_WAITING:
+            self._stats.shed += 1
+            return model.Reason.SHED
+        if not self._warmth.admit(queries):
+            self._stats.shed += 1
+            return model.Reason.SHED
+        return model.Reason.NONE
+
+    async def _work(self, duration_ms: float) -> None:
+        """Occupies a slot for as long as the work takes."""
+        self._waiting += 1
+        if self._running >= self._shape.slots:
+            self._stats.overruns += 1
+        async with self._slots:
+            self._waiting -= 1
+            self._running += 1
+            self._stats.max_running = max(
+                self._stats.max_running, self._running
+            )
+            try:
+                duration_ms *= self._warmth.factor
+                if self._random.random() < self._faults.straggle_share:
+                    duration_ms += self._faults.straggle_ms
+                await asyncio.sleep(duration_ms / _MS_PER_SECOND)
+            finally:
+                self._running -= 1
+
+    def _answer(self, query: model.ShardQuery) -> model.ShardAnswer:
+        if query.index not in self._holdings.get(query.snapshot, ()):
+            return _refuse(query, model.Reason.SNAPSHOT_GONE)
+        self._stats.queries += 1
+        text = str(query.body.get("text", ""))
+        index = query.index
+        if self._faults.wrong_shard:
+            index = (index + 1) % query.snapshot.count
+        hits = _data.find_hits(query.snapshot, index, text, query.top_hits)
+        count = len(hits)
+        if self._faults.cut_hits:
+            hits = hits[:-1]
+        attempt_id = query.attempt_id
+        if self._faults.crossed:
+            attempt_id, self._last_attempt = self._last_attempt, attempt_id
+        return model.ShardAnswer(
+            query.request_id,
+            attempt_id,
+            query.snapshot,
+            index,
+            model.Outcome.ANSWERED,
+            total=_data.DOCUMENTS_PER_SHARD,
+            hit_count=count,
+            hits=hits,
+        )
+
+    def _reply(self, answers: tuple[model.ShardAnswer, ...]) -> web.Response:
+        text = model.encode(model.ServerReply(self._boot_id, answers))
+        if self._faults.cut_text:
+            text = text[: len(text) // 2]
+        return web.Response(body=text, content_type="application/json")
+
+    def _must_crash(self, text: str) -> bool:
+        return bool(self._faults.crash_on) and self._faults.crash_on in text
+
+    def _crash(self, request: web.Request) -> web.Response:
+        """Loses all connections and starts anew, cold."""
+        self._stats.crashes += 1
+        self._boot_id = uuid.uuid4().hex
+        self._warmth.cool()
+        for transport in self._connections:
+            transport.abort()
+        self._connections.clear()
+        return _lose_answer(request)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        cancel = model.decode(model.CancelRequest, await request.read())
+        self._stats.cancelled += len(cancel.attempt_ids)
+        self._cancelled.extend(cancel.attempt_ids)
+        return web.Response()
+
+    async def _state(self, _request: web.Request) -> web.Response:
+        holdings = tuple(
+            model.Holding(snapshot, tuple(sorted(indices)))
+            for snapshot, indices in self._holdings.items()
+        )
+        draining = self._faults.draining and not self._faults.lies
+        return _respond(model.ServerState(self._boot_id, holdings, draining))
+
+    async def _put_holdings(self, request: web.Request) -> web.Response:
+        plain = orjson.loads(await request.read())
+        holdings = [model.from_plain(model.Holding, item) for item in plain]
+        self._holdings = {h.snapshot: set(h.indices) for h in holdings}
+        return web.Response()
+
+    async def _put_faults(self, request: web.Request) -> web.Response:
+        plain = orjson.loads(await request.read())
+        self._faults = attrs.evolve(self._faults, **plain)
+        return web.Response()
+
+    async def _post_crash(self, request: web.Request) -> web.Response:
+        return self._crash(request)
+
+    async def _post_cool(self, _request: web.Request) -> web.Response:
+        self._warmth.cool()
+        return web.Response()
+
+    async def _get_stats(self, _request: web.Request) -> web.Response:
+        plain = attrs.asdict(self._stats)
+        plain["collapses"] = self._warmth.collapses
+        return web.Response(
+            body=orjson.dumps(plain), content_type="application/json"
+        )
+
+
+def _refuse(query: model.ShardQuery, reason: model.Reason) -> model.ShardAnswer:
+    return model.ShardAnswer(
+        query.request_id,
+        query.attempt_id,
+        query.snapshot,
+        query.index,
+        model.Outcome.NOT_RUN,
+        reason,
+    )
+
+
+def _respond(message: object) -> web.Response:
+    return web.Response(
+        body=model.encode(message), content_type="application/json"
+    )
+
+
+def _lose_answer(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def create_server(shape: ServerShape) -> Server:
+    """Returns a server that has just started and is cold."""
+    return Server(shape)
--- /dev/null
+++ b/standins/cowslipvalve_standins/_shapes.py
@@ -0,0 +1,204 @@
+"""Deployments of the users' kinds, scaled to one machine."""
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _server
+
+FIRST_SNAPSHOT = 1
+
+
+@attrs.frozen(kw_only=True)
+class SearchShape:
+    """A search and the servers that hold its shards."""
+
+    # The name of the search.
+    name: str
+    # The number of shards, each a service.
+    shards: int
+    # The number of servers for each shard, in different domains.
+    replicas: int = 2
+    # The spec of the search, as JSON data.
+    spec: dict[str, object] = attrs.field(factory=dict)
+    # The slots of each server.
+    slots: int = 2
+    # The connections of each server.
+    max_connections: int = 25
+    # The time of a new connection, in ms.
+    connect_ms: float = 6.0
+
+
+@attrs.frozen(kw_only=True)
+class SiteShape:
+    """A user's failure domains and searches."""
+
+    # The failure domains with their regions.
+    domains: tuple[tuple[str, str], ...]
+    # The number of hosts in all domains together.
+    hosts: int
+    # The searches.
+    searches: tuple[SearchShape, ...]
+    # What a cold server bears, in queries a second.
+    initial_rate: float = 10.0
+    # The rate from which on a server is warm.
+    full_rate: float = 160.0
+    # The time in which the borne rate doubles, in ms.
+    doubling_ms: int = 500
+
+
+def create_deployment_shape(
+    site: SiteShape, **settings: object
+) -> _deployments.DeploymentShape:
+    """Returns the hosts, servers and resources of a site on free ports."""
+    resources = [
+        platform.create_object(
+            "FailureDomain", name, {"region": region}, "setup"
+        )
+        for name, region in site.domains
+    ]
+    servers: list[tuple[str, _server.ServerShape]] = []
+    count = sum(s.shards * s.replicas for s in site.searches)
+    ports = _deployments.choose_ports(count)
+    for search in site.searches:
+        resources.append(
+            platform.create_object("Search", search.name, search.spec, "setup")
+        )
+        for index in range(search.shards):
+            for replica in range(search.replicas):
+                domain = site.domains[(index + replica) % len(site.domains)][0]
+                shape = _create_server(
+                    site, search, index, replica, ports.pop()
+                )
+                servers.append((domain, shape))
+                resources.append(_create_resource(site, search, domain, shape))
+    hosts = tuple(_create_host(site, number) for number in range(site.hosts))
+    return _deployments.DeploymentShape(
+        hosts=hosts,
+        servers=tuple(servers),
+        resources=tuple(resources),
+        settings=settings,
+    )
+
+
+def _create_host(site: SiteShape, number: int) -> _deployments.HostShape:
+    domain, region = site.domains[number % len(site.domains)]
+    name = f"{domain}-{number // len(site.domains) + 1}"
+    return _deployments.HostShape(
+        name=name, failure_domain=domain, region=region
+    )
+
+
+def _create_server(
+    site: SiteShape, search: SearchShape, index: int, replica: int, port: int
+) -> _server.ServerShape:
+    snapshot = model.Snapshot(search.name, FIRST_SNAPSHOT, search.shards)
+    return _server.ServerShape(
+        name=f"{search.name}-{index}-{'abcdef'[replica]}",
+        address=f"127.0.0.1:{port}",
+        holdings=(model.Holding(snapshot, (index,)),),
+        slots=search.slots,
+        max_connections=search.max_connections,
+        connect_ms=search.connect_ms,
+        initial_rate=site.initial_rate,
+        full_rate=site.full_rate,
+        doubling_ms=site.doubling_ms,
+    )
+
+
+def _create_resource(
+    site: SiteShape,
+    search: SearchShape,
+    domain: str,
+    shape: _server.ServerShape,
+) -> platform.StoredObject:
+    spec = {
+        "failureDomain": domain,
+        "address": shape.address,
+        "searches": [search.name],
+        "slots": search.slots,
+        "maxConnections": search.max_connections,
+        "warmUp": {
+            "initialRate": site.initial_rate,
+            "fullRate": site.full_rate,
+            "doublingMs": site.doubling_ms,
+        },
+    }
+    return platform.create_object("BackendServer", shape.name, spec, "setup")
+
+
+def create_haapaniemi(
+    shards: int = 6, hosts: int = 8, extra_spec: dict[str, object] | None = None
+) -> SiteShape:
+    """Returns the game dealer's site: coverage before latency."""
+    spec: dict[str, object] = {
+        "deadlineMs": 1_000,
+        "minCoverage": 0.5,
+        **(extra_spec or {}),
+    }
+    return SiteShape(
+        domains=(
+            ("seinajoki", "pohjanmaa"),
+            ("kuopio", "savo"),
+            ("rovaniemi", "lappi"),
+        ),
+        hosts=hosts,
+        searches=(
+            SearchShape(name="price-lists", shards=shards, spec=spec),
+            SearchShape(
+                name="orders",
+                shards=1,
+                replicas=3,
+                spec={"kind": "order", "orderGuard": "ticket"},
+                max_connections=110,
+                connect_ms=1.0,
+            ),
+            SearchShape(
+                name="weighings",
+                shards=1,
+                replicas=3,
+                spec={"kind": "order", "orderGuard": "claim"},
+                max_connections=110,
+                connect_ms=1.0,
+            ),
+        ),
+    )
+
+
+def create_kestrelford(
+    shards: int = 6, hosts: int = 8, extra_spec: dict[str, object] | None = None
+) -> SiteShape:
+    """Returns the surface finisher's site: latency before coverage."""
+    spec: dict[str, object] = {
+        "deadlineMs": 500,
+        "patienceMs": 60,
+        "minCoverage": 0.5,
+        **(extra_spec or {}),
+    }
+    return SiteShape(
+        domains=(
+            ("mid-a", "midlands"),
+            ("ne-a", "north-east"),
+            ("wal-a", "wales"),
+        ),
+        hosts=hosts,
+        searches=(
+            SearchShape(
+                name="order-desk",
+                shards=shards,
+                spec=spec,
+                slots=3,
+                max_connections=30,
+            ),
+            SearchShape(
+                name="job-archive",
+                shards=1,
+                replicas=3,
+                spec={"deadlineMs": 20_000, "maxDeadlineMs": 60_000},
+                slots=6,
+                max_connections=50,
+                connect_ms=1.0,
+            ),
+        ),
+    )
--- /dev/null
+++ b/standins/cowslipvalve_standins/_warmth.py
@@ -0,0 +1,68 @@
+"""How much load a freshly started stand-in server bears."""
+
+import collections
+import time
+
+_WINDOW_S = 0.25
+_TOLERANCE = 2.0  # Short bursts above the rate that a server bears.
+_COLLAPSE_S = 1.0
+_COLD_FACTOR = 3.0  # A cold server takes this much longer.
+
+
+class Warmth:
+    """A rate that doubles while the server works, and collapses above it."""
+
+    def __init__(
+        self, initial_rate: float, full_rate: float, doubling_ms: float
+    ) -> None:
+        self._initial_rate = initial_rate
+        self._full_rate = full_rate
+        self._doubling_s = doubling_ms / 1_000
+        self._arrivals: collections.deque[float] = collections.deque()
+        self._started: float | None = None
+        self._collapsed_until = 0.0
+        self.collapses = 0
+
+    def cool(self) -> None:
+        """Makes the server cold, without telling anybody."""
+        self._started = None
+        self._arrivals.clear()
+
+    @property
+    def factor(self) -> float:
+        """How much longer a query takes now."""
+        return 1.0 if self._rate() >= self._full_rate else _COLD_FACTOR
+
+    def admit(self, queries: int) -> bool:
+        """Counts queries; returns whether the server can take them."""
+        now = time.monotonic()
+        if now < self._collapsed_until:
+            return False
+        if self._started is None:
+            self._started = now
+        self._arrivals.extend([now] * queries)
+        while self._arrivals and self._arrivals[0] < now - _WINDOW_S:
+            self._arrivals.popleft()
+        rate = self._rate()
+        allowed = max(2.0, _TOLERANCE * rate * _WINDOW_S)
+        if rate < self._full_rate and len(self._arrivals) > allowed:
+            self.collapses += 1
+            self._collapsed_until = now + _COLLAPSE_S
+            self.cool()
+            return False
+        return True
+
+    def _rate(self) -> float:
+        if self._started is None:
+            return self._initial_rate
+        age = time.monotonic() - self._started
+        return min(
+            self._full_rate, self._initial_rate * 2 ** (age / self._doubling_s)
+        )
+
+
+def create_warmth(
+    initial_rate: float, full_rate: float, doubling_ms: float
+) -> Warmth:
+    """Returns the warmth of a cold server; rates are queries a second."""
+    return Warmth(initial_rate, full_rate, doubling_ms)
--- /dev/null
+++ b/standins/cowslipvalve_standins/servers.py
@@ -0,0 +1,34 @@
+"""Runs stand-in servers: python -m cowslipvalve_standins.servers FILE.
+
+The file holds a JSON list of server shapes; each server has its own port.
+"""
+
+import asyncio
+import pathlib
+import sys
+
+import orjson
+from aiohttp import web
+
+import cowslipvalve_model as model
+from cowslipvalve_standins import _server
+
+
+async def _serve(path: str) -> None:
+    for plain in orjson.loads(pathlib.Path(path).read_bytes()):
+        shape = model.from_plain(_server.ServerShape, plain)
+        app = _server.create_server(shape).create_app()
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        host, _, port = shape.address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Serves until the process is ended."""
+    asyncio.run(_serve(sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
