Answer the first whole path between separate processes

Cause: daemons ended at the start, because the log formatter takes no constant defaults and the connection trace was frozen before it was filled. Six watchers each wrote the audit records again.

--- a/packages/backend/cowslipvalve_backend/_client.py
+++ b/packages/backend/cowslipvalve_backend/_client.py
@@ -192,18 +192,18 @@
     name: str, address: str, max_connections: int
 ) -> ServerClient:
     """Returns a client that opens at most the given connections."""
+    opened: list[ServerClient] = []
+
+    async def count_connection(*_: Any) -> None:
+        opened[0].connections_opened += 1
+
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(count_connection)
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
             limit=max_connections, keepalive_timeout=_KEEP_ALIVE_S
         ),
         trace_configs=[trace],
     )
-    client = ServerClient(session, name, address)
-
-    async def count_connection(*_: Any) -> None:
-        client.connections_opened += 1
-
-    trace.on_connection_create_end.append(count_connection)
-    trace.freeze()
-    return client
+    opened.append(ServerClient(session, name, address))
+    return opened[0]
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -126,12 +126,9 @@
         await parts.heartbeats.push()
 
     async def on_stop(self) -> None:
-        """Closes all interfaces."""
+        """Closes all interfaces and connections."""
         for runner in reversed(self._runners):
             await runner.cleanup()
-
-    async def on_shutdown(self) -> None:
-        """Closes the connections to peers and platform."""
         if self._parts is not None:
             await self._parts.transport.session.close()
             await self._parts.platform_session.close()
@@ -242,7 +239,11 @@
 
 
 async def run_daemon(settings: _settings.Settings, stop: asyncio.Event) -> None:
-    """Runs a daemon until the event is set, then drains it."""
+    """Runs a daemon until the event is set, then drains it.
+
+    Raises:
+      CowslipvalveError: A part of the daemon failed, and with it the daemon.
+    """
     daemon = Daemon(settings)
     await daemon.start()
     crashed = asyncio.ensure_future(daemon.wait_until_stopped())
@@ -251,5 +252,8 @@
     if not crashed.done():
         await daemon.drain()
     await daemon.stop()
-    crashed.cancel()
     stopping.cancel()
+    if daemon.crash_reason is not None:
+        raise model.CowslipvalveError(
+            f"the daemon failed: {daemon.crash_reason!r}", step="run"
+        )
--- a/packages/daemon/cowslipvalve_daemon/_logs.py
+++ b/packages/daemon/cowslipvalve_daemon/_logs.py
@@ -4,19 +4,32 @@
 import sys
 
 import logfmter
+import mode
 
-_KEYS = ["at", "level", "logger"]
+_KEYS = ["at", "level", "host", "logger"]
 _NAMES = {"at": "asctime", "level": "levelname", "logger": "name"}
 
 
+class _HostFilter(logging.Filter):
+    """Adds the name of the host to every event."""
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self._host = host
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        record.host = self._host
+        return True
+
+
 def configure_logs(level: str, host: str) -> None:
     """Sends all logs of the process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        logfmter.Logfmter(keys=_KEYS, mapping=_NAMES, defaults={"host": host})
-    )
+    handler.setFormatter(logfmter.Logfmter(keys=_KEYS, mapping=_NAMES))
+    handler.addFilter(_HostFilter(host))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
+    mode.Service.mundane_level = "debug"
     logging.getLogger("mode").setLevel(logging.WARNING)
 
 
--- a/packages/daemon/cowslipvalve_daemon/_watchers.py
+++ b/packages/daemon/cowslipvalve_daemon/_watchers.py
@@ -48,6 +48,7 @@
         self._objects: dict[tuple[str, str], platform.StoredObject] = {}
         self._listed: set[str] = set()
         self._changed = asyncio.Event()
+        self._audited = 0
         self.rejections: tuple[_compilers.Rejection, ...] = ()
 
     @property
@@ -110,7 +111,7 @@
         )
         self.rejections = compilation.rejections
         if not compilation.changes:
-            await self._store.complete_audit(stored.head)
+            await self._complete_audit(stored.head)
             return
         committed = await self._store.commit(
             stored, compilation.configuration, compilation.changes
@@ -118,16 +119,26 @@
         self._configurations.install(
             model.complete_delta(committed.configuration)
         )
+        self._audited = committed.head.number
         for change in compilation.changes:
             _logs.log_event(
                 _LOGGER,
                 "configuration-accepted",
                 number=change.number,
                 kind=change.kind,
-                name=change.name,
+                resource=change.name,
                 operator=change.operator,
             )
 
+    async def _complete_audit(self, head: platform.Head) -> None:
+        """Looks once at whether a committer has left out audit records."""
+        if head.number == self._audited or not self._memberships.has_role(
+            ROLE_KEY, 1
+        ):
+            return
+        await self._store.complete_audit(head)
+        self._audited = head.number
+
     async def _watch_kind(self, kind: str) -> None:
         while not self.should_stop:
             if not self.is_watching:
--- a/packages/platform/cowslipvalve_platform/_configurations.py
+++ b/packages/platform/cowslipvalve_platform/_configurations.py
@@ -112,8 +112,16 @@
         )
 
     async def complete_audit(self, head: Head) -> None:
-        """Writes the audit records that a failed committer left out."""
-        await self._write_audit(head.changes)
+        """Writes the audit records that a failed committer left out.
+
+        Records are written in order, so that the last one tells of all.
+        """
+        if not head.changes:
+            return
+        try:
+            await self._client.get(AUDIT_KIND, _name_record(head.changes[-1]))
+        except model.NotFoundError:
+            await self._write_audit(head.changes)
 
     async def _write_parts(
         self, configuration: model.Configuration, attempt_id: str
@@ -169,9 +177,8 @@
         self, changes: tuple[model.ConfigurationChange, ...]
     ) -> None:
         for change in changes:
-            name = f"{change.number:08d}-{change.kind.lower()}-{change.name}"
             item = _objects.create_object(
-                AUDIT_KIND, name, model.to_plain(change)
+                AUDIT_KIND, _name_record(change), model.to_plain(change)
             )
             # The head keeps the line, so that the next commit writes it.
             with contextlib.suppress(model.PlatformError):
@@ -184,6 +191,10 @@
                 await self._client.delete(PART_KIND, name)
 
 
+def _name_record(change: model.ConfigurationChange) -> str:
+    return f"{change.number:08d}-{change.kind.lower()}-{change.name}"
+
+
 def create_configuration_store(
     client: _client.PlatformClient,
 ) -> ConfigurationStore:
