--- /dev/null
+++ b/packages/cli/cowslipvalve_cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the client by python -m cowslipvalve_cli."""
+
+from cowslipvalve_cli import _main
+
+_main.main()
--- /dev/null
+++ b/packages/cli/cowslipvalve_cli/_files.py
@@ -0,0 +1,70 @@
+"""Reads resource files."""
+
+import pathlib
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+
+
+@attrs.frozen(kw_only=True)
+class _Document:
+    """One resource as operators write it."""
+
+    # The name of the kind.
+    kind: str
+    # The name and, to change just what was read, the resource version.
+    metadata: model.Metadata
+    # What the operator wants.
+    spec: dict[str, Any] = attrs.field(factory=dict)
+    # The version of the API's schema.
+    api_version: str = platform.API_VERSION
+    # What a listing holds besides; it is not written.
+    status: dict[str, Any] = attrs.field(factory=dict)
+
+
+def read_resources(path: str) -> tuple[platform.StoredObject, ...]:
+    """Returns the checked resources of a JSON file.
+
+    The file holds one resource or a list of them.
+
+    Raises:
+      InputError: The file cannot be read or a resource has bad fields; the
+        message names the file, the resource, and each field.
+    """
+    try:
+        plain = model.decode_plain(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise model.InputError(
+            f"{path}: cannot be read: {error.strerror}", step="read-file"
+        ) from error
+    except model.InputError as error:
+        raise model.InputError(f"{path}: {error}", step="read-file") from error
+    items = plain if isinstance(plain, list) else [plain]
+    return tuple(
+        _check(f"{path}: item {index}", item)
+        for index, item in enumerate(items)
+    )
+
+
+def _check(place: str, plain: Any) -> platform.StoredObject:
+    try:
+        document = model.check_plain(_Document, plain)
+        kind = model.KINDS.get(document.kind)
+        if kind is None:
+            raise model.InputError(
+                f"kind must be one of {', '.join(model.KINDS)}, not"
+                f" {document.kind!r}"
+            )
+        place += f" ({document.kind} {document.metadata.name})"
+        metadata = model.to_plain(document.metadata)
+        model.check_plain(kind, {"metadata": metadata, "spec": document.spec})
+    except model.InputError as error:
+        raise model.InputError(
+            f"{place}: {error}", step="check-file"
+        ) from error
+    return platform.StoredObject(
+        kind=document.kind, metadata=document.metadata, spec=document.spec
+    )
--- /dev/null
+++ b/packages/cli/cowslipvalve_cli/_main.py
@@ -0,0 +1,367 @@
+"""The command cowslipvalve."""
+
+import asyncio
+import getpass
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Annotated, Any
+
+import aiohttp
+import cyclopts
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_cli import _files
+from cowslipvalve_cli import _operations
+from cowslipvalve_cli import _output
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_NOT_FOUND = 4
+EXIT_PLATFORM_AWAY = 5
+_EXIT_STATUSES: tuple[tuple[type[model.CowslipvalveError], int], ...] = (
+    (model.InputError, EXIT_BAD_INPUT),
+    (model.ConflictError, EXIT_CONFLICT),
+    (model.NotFoundError, EXIT_NOT_FOUND),
+    (model.PlatformUnavailableError, EXIT_PLATFORM_AWAY),
+)
+_KINDS = {
+    alias: kind
+    for kind in model.KINDS
+    for alias in (kind.lower(), f"{kind.lower()}s")
+} | {
+    "searches": "Search",
+    "server": "BackendServer",
+    "servers": "BackendServer",
+    "domain": "FailureDomain",
+    "domains": "FailureDomain",
+}
+
+app = cyclopts.App(
+    name="cowslipvalve",
+    help="Writes cowslipvalve's resources and reads their status.",
+)
+domain_app = cyclopts.App(name="domain", help="Takes failure domains out.")
+server_app = cyclopts.App(name="server", help="Takes backend servers out.")
+app.command(domain_app)
+app.command(server_app)
+app.register_install_completion_command()
+
+Platform = Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--platform",
+        env_var="COWSLIPVALVE_PLATFORM",
+        help="The URL of the platform's object API.",
+    ),
+]
+Operator = Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--operator",
+        env_var="COWSLIPVALVE_OPERATOR",
+        help="The name that the audit trail shows.",
+    ),
+]
+OutputFormat = Annotated[
+    _output.Format,
+    cyclopts.Parameter(name="--output", help="The format of the output."),
+]
+_DEFAULT_PLATFORM = "http://127.0.0.1:8080"
+
+
+@app.command
+def apply(
+    *,
+    file: Annotated[str, cyclopts.Parameter(name=["--file", "-f"])],
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    operator: Operator = "",
+    output: OutputFormat = _output.Format.TABLE,
+) -> None:
+    """Creates and changes the resources of a JSON file.
+
+    A resource whose metadata names a resourceVersion is only changed if
+    nobody has changed it since.
+
+    Args:
+      file: The path of the file, one resource or a list of them.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        written = [
+            await _operations.apply_resource(
+                client, resource, _name_operator(operator)
+            )
+            for resource in _files.read_resources(file)
+        ]
+        _output.print_rows(written, output)
+
+    _run(platform_url, run)
+
+
+@app.command
+def validate(
+    *, file: Annotated[str, cyclopts.Parameter(name=["--file", "-f"])]
+) -> None:
+    """Checks the resources of a JSON file without the platform.
+
+    Args:
+      file: The path of the file, one resource or a list of them.
+    """
+    with _ExitOnError():
+        resources = _files.read_resources(file)
+        print(f"{len(resources)} resources are valid")
+
+
+@app.command
+def get(
+    kind: str,
+    name: str = "",
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    output: OutputFormat = _output.Format.TABLE,
+) -> None:
+    """Lists the resources of a kind, or one of them.
+
+    Args:
+      kind: One of search, server, domain, or the name of the kind.
+      name: The name of the resource.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        items = await _operations.list_resources(client, _find_kind(kind), name)
+        _output.print_resources(items, output)
+
+    _run(platform_url, run)
+
+
+@app.command
+def describe(
+    kind: str, name: str, *, platform_url: Platform = _DEFAULT_PLATFORM
+) -> None:
+    """Prints all of one resource.
+
+    Args:
+      kind: One of search, server, domain, or the name of the kind.
+      name: The name of the resource.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        _output.print_description(await client.get(_find_kind(kind), name))
+
+    _run(platform_url, run)
+
+
+@app.command
+def delete(
+    kind: str,
+    name: str,
+    *,
+    resource_version: int = 0,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+) -> None:
+    """Deletes a resource.
+
+    Args:
+      kind: One of search, server, domain, or the name of the kind.
+      name: The name of the resource.
+      resource_version: Delete it only if it still has this version.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        await client.delete(_find_kind(kind), name, resource_version)
+        print(f"{_find_kind(kind)} {name} is deleted")
+
+    _run(platform_url, run)
+
+
+@app.command
+def watch(kind: str, *, platform_url: Platform = _DEFAULT_PLATFORM) -> None:
+    """Prints the resources of a kind and then each change, as JSON lines.
+
+    Args:
+      kind: One of search, server, domain, or the name of the kind.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        events = _operations.watch_resources(client, _find_kind(kind))
+        async for event in events:
+            print(model.encode(event).decode(), flush=True)
+
+    _run(platform_url, run)
+
+
+@app.command
+def audit(
+    name: str = "",
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    output: OutputFormat = _output.Format.TABLE,
+) -> None:
+    """Lists the accepted changes: who, what, from, to, number and when.
+
+    Args:
+      name: The name of a resource; all if it is left out.
+    """
+
+    async def run(client: platform.PlatformClient) -> None:
+        _output.print_changes(
+            await _operations.list_audit(client, name), output
+        )
+
+    _run(platform_url, run)
+
+
+@app.command
+def status(
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    output: OutputFormat = _output.Format.TABLE,
+) -> None:
+    """Prints the state of all domains, searches and servers."""
+
+    async def run(client: platform.PlatformClient) -> None:
+        for kind in ("FailureDomain", "Search", "BackendServer"):
+            if output is _output.Format.TABLE:
+                print(f"{kind}:")
+            items = await _operations.list_resources(client, kind, "")
+            _output.print_resources(items, output)
+
+    _run(platform_url, run)
+
+
+@domain_app.command(name="out")
+def take_domain_out(
+    name: str,
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    operator: Operator = "",
+) -> None:
+    """Lets no new work go to a failure domain.
+
+    Args:
+      name: The name of the failure domain.
+    """
+    _place(platform_url, operator, "FailureDomain", name, model.Placement.OUT)
+
+
+@domain_app.command(name="in")
+def take_domain_in(
+    name: str,
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    operator: Operator = "",
+) -> None:
+    """Lets work go to a failure domain again.
+
+    Args:
+      name: The name of the failure domain.
+    """
+    _place(platform_url, operator, "FailureDomain", name, model.Placement.IN)
+
+
+@server_app.command(name="drain")
+def drain_server(
+    name: str,
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    operator: Operator = "",
+) -> None:
+    """Lets no new work go to a backend server.
+
+    Args:
+      name: The name of the backend server.
+    """
+    _place(platform_url, operator, "BackendServer", name, model.Placement.OUT)
+
+
+@server_app.command(name="undrain")
+def undrain_server(
+    name: str,
+    *,
+    platform_url: Platform = _DEFAULT_PLATFORM,
+    operator: Operator = "",
+) -> None:
+    """Lets work go to a backend server again.
+
+    Args:
+      name: The name of the backend server.
+    """
+    _place(platform_url, operator, "BackendServer", name, model.Placement.IN)
+
+
+def _place(
+    platform_url: str,
+    operator: str,
+    kind: str,
+    name: str,
+    placement: model.Placement,
+) -> None:
+    def change(spec: dict[str, Any]) -> dict[str, Any]:
+        return {**spec, "placement": str(placement)}
+
+    async def run(client: platform.PlatformClient) -> None:
+        written = await _operations.change_spec(
+            client, kind, name, _name_operator(operator), change
+        )
+        print(f"{kind} {name}: placement {placement}, {written.action}")
+
+    _run(platform_url, run)
+
+
+def _find_kind(text: str) -> str:
+    kind = _KINDS.get(text.lower())
+    if kind is None:
+        raise model.InputError(
+            f"kind must be one of {', '.join(sorted(_KINDS))}, not {text!r}"
+        )
+    return kind
+
+
+def _name_operator(operator: str) -> str:
+    return operator or getpass.getuser()
+
+
+class _ExitOnError:
+    """Prints an error and ends the process with its status."""
+
+    def __enter__(self) -> None:
+        return
+
+    def __exit__(
+        self, _kind: object, error: BaseException | None, _traceback: object
+    ) -> None:
+        if not isinstance(error, model.CowslipvalveError):
+            return
+        print(f"cowslipvalve: {error}", file=sys.stderr)
+        for kind, number in _EXIT_STATUSES:
+            if isinstance(error, kind):
+                sys.exit(number)
+        sys.exit(EXIT_FAILED)
+
+
+def _run(
+    url: str, run: Callable[[platform.PlatformClient], Awaitable[None]]
+) -> None:
+    with _ExitOnError():
+        asyncio.run(_run_with_client(url, run))
+
+
+async def _run_with_client(
+    url: str, run: Callable[[platform.PlatformClient], Awaitable[None]]
+) -> None:
+    async with _open_client(url) as client:
+        await run(client)
+
+
+@asynccontextmanager
+async def _open_client(url: str) -> AsyncIterator[platform.PlatformClient]:
+    async with aiohttp.ClientSession() as session:
+        yield platform.create_client(session, url)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
--- /dev/null
+++ b/packages/cli/cowslipvalve_cli/_operations.py
@@ -0,0 +1,138 @@
+"""What the client's commands do with the platform."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+
+
+@attrs.frozen
+class Written:
+    """What became of one resource of a file."""
+
+    # The kind of the resource.
+    kind: str
+    # The name of the resource.
+    name: str
+    # One of created, changed, unchanged.
+    action: str
+    # The version that is now stored.
+    resource_version: int
+
+
+async def apply_resource(
+    client: platform.PlatformClient,
+    wanted: platform.StoredObject,
+    operator: str,
+) -> Written:
+    """Creates a resource or changes its spec.
+
+    Raises:
+      ConflictError: Another operator has changed the resource since the
+        version that the file names, or at this very moment.
+    """
+    name = wanted.metadata.name
+    try:
+        stored = await client.get(wanted.kind, name)
+    except model.NotFoundError:
+        created = await client.create(
+            platform.create_object(wanted.kind, name, wanted.spec, operator)
+        )
+        return _describe(created, "created")
+    version = wanted.metadata.resource_version
+    if version and version != stored.metadata.resource_version:
+        raise model.ConflictError(
+            f"{wanted.kind} {name} was changed by"
+            f" {stored.metadata.operator} since version {version}; get it"
+            " again and repeat your change",
+            step="apply",
+        )
+    if stored.spec == wanted.spec:
+        return _describe(stored, "unchanged")
+    return await _write_spec(client, stored, wanted.spec, operator)
+
+
+async def change_spec(
+    client: platform.PlatformClient,
+    kind: str,
+    name: str,
+    operator: str,
+    change: Callable[[dict[str, Any]], dict[str, Any]],
+) -> Written:
+    """Changes fields of a stored spec and leaves the others as they are.
+
+    Raises:
+      ConflictError: Another operator has changed the resource meanwhile.
+      NotFoundError: There is no such resource.
+    """
+    stored = await client.get(kind, name)
+    spec = change(dict(stored.spec))
+    if spec == stored.spec:
+        return _describe(stored, "unchanged")
+    return await _write_spec(client, stored, spec, operator)
+
+
+async def _write_spec(
+    client: platform.PlatformClient,
+    stored: platform.StoredObject,
+    spec: dict[str, Any],
+    operator: str,
+) -> Written:
+    annotations = {
+        **stored.metadata.annotations,
+        model.OPERATOR_ANNOTATION: operator,
+    }
+    metadata = attrs.evolve(stored.metadata, annotations=annotations)
+    changed = await client.update(
+        attrs.evolve(stored, metadata=metadata, spec=spec)
+    )
+    return _describe(changed, "changed")
+
+
+async def list_resources(
+    client: platform.PlatformClient, kind: str, name: str
+) -> tuple[platform.StoredObject, ...]:
+    """Returns all resources of a kind, or the named one."""
+    if name:
+        return (await client.get(kind, name),)
+    return (await client.list(kind)).items
+
+
+async def list_audit(
+    client: platform.PlatformClient, name: str
+) -> tuple[model.ConfigurationChange, ...]:
+    """Returns the accepted changes, oldest first, of one resource if named."""
+    listed = await client.list(platform.AUDIT_KIND)
+    changes = (
+        model.from_plain(model.ConfigurationChange, item.spec)
+        for item in listed.items
+    )
+    return tuple(
+        sorted(
+            (change for change in changes if name in ("", change.name)),
+            key=lambda change: (change.number, change.kind, change.name),
+        )
+    )
+
+
+async def watch_resources(
+    client: platform.PlatformClient, kind: str
+) -> AsyncIterator[platform.WatchEvent]:
+    """Yields every resource of a kind, and then its changes."""
+    listed = await client.list(kind)
+    for item in listed.items:
+        yield platform.WatchEvent("ADDED", item)
+    async for event in client.watch(kind, listed.resource_version):
+        yield event
+
+
+def _describe(item: platform.StoredObject, action: str) -> Written:
+    return Written(
+        item.kind,
+        item.metadata.name,
+        action,
+        item.metadata.resource_version,
+    )
--- a/packages/daemon/cowslipvalve_daemon/_callerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_callerapi.py
@@ -152,7 +152,7 @@
 ) -> model.Failure:
     outcome, reason = model.Outcome.NOT_RUN, model.Reason.BAD_REQUEST
     if isinstance(error, model.NotRunError):
-        reason = model.Reason(error.reason)
+        reason = error.reason
     elif not isinstance(error, model.RequestError):
         outcome, reason = model.Outcome.UNKNOWN, model.Reason.MISMATCH
     return model.Failure(
--- a/packages/daemon/cowslipvalve_daemon/_configurations.py
+++ b/packages/daemon/cowslipvalve_daemon/_configurations.py
@@ -3,6 +3,7 @@
 import collections
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -128,5 +129,5 @@
 
     Of the status only the number stays at which the spec was accepted.
     """
-    status = type(resource.status)(accepted_number=number)
+    status: Any = type(resource.status)(accepted_number=number)
     return attrs.evolve(resource, status=status)
--- a/packages/daemon/cowslipvalve_daemon/_homes.py
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -1,6 +1,7 @@
 """The servers that this host is home to."""
 
 import asyncio
+import contextlib
 import logging
 import uuid
 from collections.abc import Callable
@@ -136,12 +137,10 @@
     async def _reconcile(self) -> None:
         while not self.should_stop:
             await self._reconcile_once()
-            try:
+            with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(
                     self._changed.wait(), model.to_seconds(_RECONCILE_MS)
                 )
-            except TimeoutError:
-                pass
             self._changed.clear()
 
     async def _reconcile_once(self) -> None:
@@ -179,7 +178,7 @@
         self, name: str, worker: _serverworkers.ServerWorker
     ) -> None:
         del self._workers[name]
-        self.remove_dependency(worker)
+        await self.remove_dependency(worker)
         await worker.stop()
         self._metrics.homes.add(-1)
         _logs.log_event(_LOGGER, "home-released", server=name)
--- a/packages/daemon/cowslipvalve_daemon/_main.py
+++ b/packages/daemon/cowslipvalve_daemon/_main.py
@@ -1,10 +1,11 @@
 """The command cowslipvalved."""
 
-import argparse
 import asyncio
 import signal
 import sys
 
+import cyclopts
+
 import cowslipvalve_model as model
 from cowslipvalve_daemon import _daemon
 from cowslipvalve_daemon import _logs
@@ -23,27 +24,37 @@
     await _daemon.run_daemon(settings, stop)
 
 
-def main() -> None:
-    """Runs the daemon with the settings file named on the command line."""
-    parser = argparse.ArgumentParser(
-        prog="cowslipvalved", description="The cowslipvalve daemon."
-    )
-    parser.add_argument("settings", help="the path of the JSON settings file")
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and end"
-    )
-    arguments = parser.parse_args()
+app = cyclopts.App(
+    name="cowslipvalved",
+    help="Runs the cowslipvalve daemon of one host.",
+    result_action="return_value",
+)
+
+
+@app.default
+def serve(settings: str, *, check: bool = False) -> int:
+    """Serves callers and peers until SIGTERM, then drains and ends.
+
+    Args:
+      settings: The path of the JSON settings file.
+      check: Check the settings and end.
+    """
     try:
-        settings = _settings.load_settings(arguments.settings)
+        checked = _settings.load_settings(settings)
     except model.SettingsError as error:
         print(f"cowslipvalved: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    if arguments.check:
-        sys.exit(EXIT_OK)
-    _logs.configure_logs(settings.log_level, settings.host)
+        return EXIT_BAD_SETTINGS
+    if check:
+        return EXIT_OK
+    _logs.configure_logs(checked.log_level, checked.host)
     try:
-        asyncio.run(_run(settings))
+        asyncio.run(_run(checked))
     except (OSError, model.CowslipvalveError) as error:
         print(f"cowslipvalved: {error}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-    sys.exit(EXIT_OK)
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+def main() -> None:
+    """Runs the command line."""
+    sys.exit(app())
--- a/packages/daemon/cowslipvalve_daemon/_orders.py
+++ b/packages/daemon/cowslipvalve_daemon/_orders.py
@@ -105,13 +105,14 @@
             order.request.order,
             remaining_ms,
         )
-        return await post_order(
+        reply: model.HomeOrderReply = await post_order(
             self._session,
             f"{self._scheme}://{record.address}/peer/order",
             message,
             remaining_ms + _GRACE_MS,
             model.HomeOrderReply,
         )
+        return reply
 
 
 async def post_order(
--- a/packages/daemon/cowslipvalve_daemon/_partials.py
+++ b/packages/daemon/cowslipvalve_daemon/_partials.py
@@ -7,7 +7,7 @@
 
 
 def merge_hits(hits: Iterable[model.Hit], count: int) -> tuple[model.Hit, ...]:
-    """Returns the best hits, best first, in an order that is always the same."""
+    """Returns the best hits, best first; equal scores have one fixed order."""
     best = heapq.nsmallest(
         count, hits, key=lambda hit: (-hit.score, hit.shard, hit.id)
     )
--- a/packages/daemon/cowslipvalve_daemon/_peerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_peerapi.py
@@ -88,7 +88,7 @@
         except model.CowslipvalveError as error:
             reason = model.Reason.BAD_REQUEST
             if isinstance(error, model.NotRunError):
-                reason = model.Reason(error.reason)
+                reason = error.reason
             return model.OrderAnswer(
                 request_id=order.request_id,
                 outcome=model.Outcome.NOT_RUN,
--- a/packages/daemon/cowslipvalve_daemon/_replicas.py
+++ b/packages/daemon/cowslipvalve_daemon/_replicas.py
@@ -97,9 +97,10 @@
         declared = set(self.servers_of(search))
         for entry in self._table.entries("server"):
             record = entry.server
-            if record is not None and record.server in declared:
-                if self._is_usable(record):
-                    yield record
+            if record is None or record.server not in declared:
+                continue
+            if self._is_usable(record):
+                yield record
 
     def _is_usable(self, record: model.ServerRecord) -> bool:
         server = self._configurations.current.servers.get(record.server)
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -1,6 +1,7 @@
 """One caller's read request on its way through the homes."""
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -336,12 +337,10 @@
         """Waits for news from a home, or until a time."""
         left_ms = time_ms - self._tools.clock.now_ms()
         if left_ms > 0:
-            try:
+            with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(
                     self._updated.wait(), model.to_seconds(left_ms)
                 )
-            except TimeoutError:
-                pass
         self._updated.clear()
 
     async def _send_all(self, shards: list[_Shard]) -> None:
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -185,19 +185,23 @@
             return model.Reason.NOT_HOME
         if self._configurations.is_server_out(self.server):
             return model.Reason.OUT
-        if now_ms < self._draining_until_ms:
-            return model.Reason.DRAINING
-        if now_ms < self._refused_until_ms:
-            return model.Reason.UNREACHABLE
-        if self._strikes.get(fingerprint, _NEVER) > now_ms - _STRIKE_MS:
-            return model.Reason.QUARANTINED
-        if now_ms + self._expected_wait_ms() >= deadline_ms:
+        if now_ms < max(self._draining_until_ms, self._refused_until_ms):
+            is_draining = now_ms < self._draining_until_ms
             return (
-                model.Reason.QUEUE_FULL
-                if self._gate.is_warm
-                else model.Reason.WARMING
+                model.Reason.DRAINING
+                if is_draining
+                else model.Reason.UNREACHABLE
             )
-        return model.Reason.NONE
+        if self._strikes.get(fingerprint, _NEVER) > now_ms - _STRIKE_MS:
+            return model.Reason.QUARANTINED
+        return self._queue_refusal(now_ms, deadline_ms)
+
+    def _queue_refusal(self, now_ms: float, deadline_ms: float) -> model.Reason:
+        if now_ms + self._expected_wait_ms() < deadline_ms:
+            return model.Reason.NONE
+        if self._gate.is_warm:
+            return model.Reason.QUEUE_FULL
+        return model.Reason.WARMING
 
     def _expected_wait_ms(self) -> float:
         waiting = len(self._queue)
@@ -419,10 +423,10 @@
 
 
 def _finish_all(
-    batch: list[_jobs.ShardJob], outcome: model.Outcome, reason: str
+    batch: list[_jobs.ShardJob], outcome: model.Outcome, reason: model.Reason
 ) -> None:
     for job in batch:
-        job.finish(outcome, model.Reason(reason))
+        job.finish(outcome, reason)
 
 
 def _with_remaining(
--- a/packages/daemon/cowslipvalve_daemon/_watchers.py
+++ b/packages/daemon/cowslipvalve_daemon/_watchers.py
@@ -1,6 +1,7 @@
 """Reads operators' resources and commits the accepted configuration."""
 
 import asyncio
+import contextlib
 import logging
 
 import mode
@@ -88,12 +89,10 @@
                 await self.sleep(model.to_seconds(_RETRY_MS))
 
     async def _wait_for_change(self) -> None:
-        try:
+        with contextlib.suppress(asyncio.TimeoutError):
             await asyncio.wait_for(
                 self._changed.wait(), model.to_seconds(_RELOAD_MS)
             )
-        except TimeoutError:
-            pass
         await self._clock.sleep_ms(_SETTLE_MS)
         self._changed.clear()
 
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -20,7 +20,6 @@
 from cowslipvalve_model._codec import encode_plain
 from cowslipvalve_model._codec import decode
 from cowslipvalve_model._codec import decode_plain
-from cowslipvalve_model._codec import Text
 from cowslipvalve_model._configuration import ConfigurationChange
 from cowslipvalve_model._configuration import Configuration
 from cowslipvalve_model._configuration import ConfigurationDelta
@@ -91,6 +90,7 @@
 from cowslipvalve_model._servercalls import CancelRequest
 from cowslipvalve_model._shards import Snapshot
 from cowslipvalve_model._shards import Holding
+from cowslipvalve_model._texts import Text
 
 __all__ = [
     "AlreadyExistsError",
--- a/packages/model/cowslipvalve_model/_membership.py
+++ b/packages/model/cowslipvalve_model/_membership.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from cowslipvalve_model import _codec
+from cowslipvalve_model import _texts
 from cowslipvalve_model import _shards
 
 
-class HostState(_codec.Text):
+class HostState(_texts.Text):
     """The stages of a host's life."""
 
     # It waits until every older lease has ended.
@@ -59,7 +59,7 @@
     state: HostState
 
 
-class ServerCondition(_codec.Text):
+class ServerCondition(_texts.Text):
     """What the home of a server makes of it."""
 
     SERVING = "serving"
--- a/packages/model/cowslipvalve_model/_outcomes.py
+++ b/packages/model/cowslipvalve_model/_outcomes.py
@@ -1,9 +1,9 @@
 """What may become of a request."""
 
-from cowslipvalve_model import _codec
+from cowslipvalve_model import _texts
 
 
-class Outcome(_codec.Text):
+class Outcome(_texts.Text):
     """The three outcomes of a request or of one of its attempts."""
 
     # It was run and its answer is here.
@@ -14,7 +14,7 @@
     UNKNOWN = "unknown"
 
 
-class Reason(_codec.Text):
+class Reason(_texts.Text):
     """Why a request was not answered."""
 
     NONE = ""
--- a/packages/model/cowslipvalve_model/_resources.py
+++ b/packages/model/cowslipvalve_model/_resources.py
@@ -1,36 +1,37 @@
 """The resources that operators write and whose status they watch."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
-from cowslipvalve_model import _codec
+from cowslipvalve_model import _texts
 
 OPERATOR_ANNOTATION = "cowslipvalve/operator"
 
 
-class SearchKind(_codec.Text):
+class SearchKind(_texts.Text):
     """What a search does with a request."""
 
     READ = "read"
     ORDER = "order"
 
 
-class OrderGuard(_codec.Text):
+class OrderGuard(_texts.Text):
     """How a non-idempotent request is kept from running twice."""
 
     CLAIM = "claim"
     TICKET = "ticket"
 
 
-class Placement(_codec.Text):
+class Placement(_texts.Text):
     """Whether operators let work go to a domain or server."""
 
     IN = "in"
     OUT = "out"
 
 
-class ConditionStatus(_codec.Text):
+class ConditionStatus(_texts.Text):
     """The three values of a condition."""
 
     TRUE = "True"
@@ -38,11 +39,11 @@
     UNKNOWN = "Unknown"
 
 
-def _at_least(minimum: float) -> object:
-    return attrs.validators.and_(attrs.validators.ge(minimum))
+def _at_least(minimum: float) -> Any:
+    return attrs.validators.ge(minimum)
 
 
-def _between(minimum: float, maximum: float) -> object:
+def _between(minimum: float, maximum: float) -> Any:
     return attrs.validators.and_(
         attrs.validators.ge(minimum), attrs.validators.le(maximum)
     )
--- a/packages/peers/cowslipvalve_peers/_tables.py
+++ b/packages/peers/cowslipvalve_peers/_tables.py
@@ -94,7 +94,7 @@
         if since >= self.change:
             return (), self.change
         wanted = sorted(change for change in self._by_change if change > since)
-        entries = []
+        entries: list[model.Entry] = []
         for change in wanted:
             stored = self._stored[self._by_change[change]]
             if stored.source == receiver:
--- /dev/null
+++ b/standins/cowslipvalve_standins/demo.py
@@ -0,0 +1,149 @@
+"""Runs the main job on this machine: python -m cowslipvalve_standins.demo.
+
+Starts a platform, 8 daemons in 3 failure domains and some backend servers,
+declares them, and prints what callers get. The status is 1 if an answer is
+wrong.
+"""
+
+import asyncio
+import subprocess
+import sys
+import time
+from typing import Any
+
+import cowslipvalve_model as model
+from cowslipvalve_standins import _data
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _shapes
+
+_SEARCH = "price-lists"
+_SHARDS = 6
+_OUT_TARGET_S = 3.0
+
+
+class Demo:
+    """The steps of the demonstration and the faults that they found."""
+
+    def __init__(self, deployment: _deployments.Deployment) -> None:
+        self._deployment = deployment
+        self.faults: list[str] = []
+
+    async def run(self) -> None:
+        """Runs all steps."""
+        await self._deployment.wait_until_ready(search=_SEARCH)
+        print("8 hosts are ready, all shards are held")
+        for host, text in zip(
+            self._deployment.hosts, ("elk", "hare", "grouse"), strict=False
+        ):
+            await self._search(host, text)
+        await self._order("seinajoki-1", "kuopio-1")
+        await self._take_out("seinajoki")
+        await self._search("kuopio-1", "elk again")
+        await self._take_in("seinajoki")
+        await self._search("seinajoki-1", "hare again")
+        print(self._run_client("audit").strip())
+
+    def _check(self, holds: bool, fault: str) -> None:
+        if not holds:
+            self.faults.append(fault)
+            print(f"  WRONG: {fault}")
+
+    async def _search(self, host: str, text: str) -> None:
+        start = time.monotonic()
+        status, answer = await self._deployment.query(host, _SEARCH, text)
+        took_ms = (time.monotonic() - start) * 1_000
+        snapshot = model.Snapshot(_SEARCH, _shapes.FIRST_SNAPSHOT, _SHARDS)
+        wanted = [hit.id for hit in _data.find_all_hits(snapshot, text, 10)]
+        found = [hit["id"] for hit in answer.get("hits", [])]
+        coverage = answer.get("coverage", {})
+        print(
+            f"search {text!r} by {host}: status {status},"
+            f" {coverage.get('answered')} of {coverage.get('total')} shards,"
+            f" snapshot {answer.get('snapshot')}, {took_ms:.0f} ms"
+        )
+        self._check(found == wanted, f"{text!r}: hits {found}, not {wanted}")
+
+    async def _order(self, host: str, other: str) -> None:
+        _, ticket = await self._deployment.post(
+            host, "/v1/searches/orders/tickets", {}
+        )
+        body = {"order": {"id": "order-1"}, "ticket": ticket["ticket"]}
+        answers = [
+            await self._deployment.post(
+                name, "/v1/searches/orders/orders", body
+            )
+            for name in (host, other)
+        ]
+        for name, (status, answer) in zip((host, other), answers, strict=True):
+            print(
+                f"order by {name}: status {status},"
+                f" {answer['outcome']} {answer.get('result')}"
+            )
+        runs = await self._count_runs("order-1")
+        print(f"the order has run {runs} time")
+        self._check(runs == 1, f"the order ran {runs} times")
+
+    async def _count_runs(self, order: str) -> int:
+        runs = 0
+        for name in self._deployment.addresses:
+            stats = await self._deployment.server_stats(name)
+            runs += stats["orders"].get(order, 0)
+        return runs
+
+    async def _take_out(self, domain: str) -> None:
+        print(self._run_client("domain", "out", domain).strip())
+        await asyncio.sleep(_OUT_TARGET_S)
+        before = await self._count_queries(domain)
+        for number in range(20):
+            await self._deployment.query("kuopio-1", _SEARCH, f"out {number}")
+        after = await self._count_queries(domain)
+        print(f"shard queries in {domain} 3 s after: {after - before}")
+        self._check(after == before, f"{domain} got work while it was out")
+
+    async def _take_in(self, domain: str) -> None:
+        print(self._run_client("domain", "in", domain).strip())
+        await self._deployment.wait_until_ready(("seinajoki-1",), _SEARCH)
+
+    async def _count_queries(self, domain: str) -> int:
+        total = 0
+        for name, shape in self._deployment.shape.servers:
+            if name == domain:
+                stats = await self._deployment.server_stats(shape.name)
+                total += stats["queries"]
+        return total
+
+    def _run_client(self, *arguments: str) -> str:
+        command: list[Any] = [sys.executable, "-m", "cowslipvalve_cli"]
+        done = subprocess.run(
+            [*command, *arguments, "--platform", self._deployment.platform_url],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self._check(done.returncode == 0, f"{arguments}: {done.stderr}")
+        return done.stdout
+
+
+async def _run() -> int:
+    start = time.monotonic()
+    shape = _shapes.create_deployment_shape(
+        _shapes.create_haapaniemi(shards=_SHARDS)
+    )
+    async with _deployments.Deployment(shape) as deployment:
+        demo = Demo(deployment)
+        await demo.run()
+    print(f"took {time.monotonic() - start:.0f} s")
+    if demo.faults:
+        print(f"{len(demo.faults)} answers were wrong")
+        return 1
+    print("all answers were right")
+    return 0
+
+
+def main() -> None:
+    """Runs the demonstration and ends."""
+    sys.exit(asyncio.run(_run()))
+
+
+if __name__ == "__main__":
+    main()
