Give each server one home also when hosts start together

Hosts that became live in the same heartbeat still counted as joining for each other, and joining hosts were not asked whether they knew of the candidate: all three were home at once. Ruled out: asking joining hosts at every dispatch, because each start would then interrupt its neighbours' work for a heartbeat. Change: a home is acquired once, when every heard host, joining or not, has seen the candidate's live heartbeat, and is kept while the live hosts are the same.

--- a/packages/peers/cowslipvalve_peers/_leases.py
+++ b/packages/peers/cowslipvalve_peers/_leases.py
@@ -49,6 +49,10 @@
         self._sent_ms: dict[int, float] = {}
         self._observing_since_ms = clock.now_ms()
         self._last_turn_ms = clock.now_ms()
+        # Servers that no other host has work on, while the live hosts are
+        # the same; a host that joins does not interrupt their work.
+        self._acquired: set[str] = set()
+        self._acquired_among: frozenset[str] = frozenset()
         self._own = model.Beat(
             host, incarnation, 0, 0, model.HostState.JOINING, {}
         )
@@ -153,18 +157,25 @@
         The caller has made sure that this host ranks first for the server.
         """
         if self.lease_left_ms() <= 0.0:
+            self._acquired.clear()
             return False
-        return all(
+        live = self.live_hosts()
+        if live != self._acquired_among:
+            self._acquired_among = live
+            self._acquired.clear()
+        if server not in self._acquired and all(
             self._has_released(heard, server) for heard in self._heard.values()
-        )
+        ):
+            self._acquired.add(server)
+        return server in self._acquired
 
     def _has_released(self, heard: _Heard, server: str) -> bool:
         if not self._is_within(heard, self._times.lease_ms):
             return True
         if server in heard.beat.holding:
             return False
-        if heard.beat.state is model.HostState.JOINING:
-            return True
+        # A host that still counts as joining here may just have become live,
+        # so that it has to know of this host as well.
         seen = heard.beat.seen.get(self._host, (0, 0))
         return tuple(seen) >= (self._own.incarnation, self._own.state_since)
 
--- /dev/null
+++ b/packages/peers/cowslipvalve_peers/tests/test_leases.py
@@ -0,0 +1,179 @@
+"""Tests of the leases, with stopped, killed and restarted hosts."""
+
+import random
+import unittest
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+import cowslipvalve_policy as policy
+from cowslipvalve_standins import _clocks
+
+_TIMES = peers.LeaseTimes(heartbeat_ms=250, dead_ms=900, lease_ms=1_500)
+_HOSTS = ("a", "b", "c")
+_SERVERS = tuple(f"server-{number}" for number in range(6))
+_TICK_MS = 10
+_MAX_DELAY_MS = 150
+
+
+@attrs.define(eq=False)
+class _SimulatedHost:
+    keeper: peers.LeaseKeeper
+    next_beat_ms: float
+    is_stopped: bool = False
+    inbox: list[tuple[model.Beat, ...]] = attrs.field(factory=list)
+
+
+class _Domain:
+    """Hosts of one domain that hear each other with varying delay."""
+
+    def __init__(self, seed: int) -> None:
+        self.clock = _clocks.create_manual_clock()
+        self.random = random.Random(seed)
+        self.hosts: dict[str, _SimulatedHost] = {}
+        self.incarnation = 0
+        self.in_flight: list[tuple[float, str, tuple[model.Beat, ...]]] = []
+        for name in _HOSTS:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.incarnation += 1
+        keeper = peers.create_lease_keeper(
+            self.clock, _TIMES, name, self.incarnation
+        )
+        self.hosts[name] = _SimulatedHost(keeper, self.clock.now_ms())
+
+    def run(self, duration_ms: float) -> None:
+        for _ in range(int(duration_ms / _TICK_MS)):
+            self.clock.advance(_TICK_MS)
+            self._deliver()
+            for name, host in self.hosts.items():
+                if not host.is_stopped:
+                    self._turn(name, host)
+            self.check()
+
+    def check(self) -> None:
+        for server in _SERVERS:
+            homes = self.homes(server)
+            assert len(homes) < 2, f"{server} has the homes {homes}"
+
+    def homes(self, server: str) -> list[str]:
+        return [
+            name
+            for name, host in self.hosts.items()
+            if not host.is_stopped and self._is_home(name, host, server)
+        ]
+
+    def _is_home(self, name: str, host: _SimulatedHost, server: str) -> bool:
+        first = policy.choose_name(host.keeper.live_hosts(), server)
+        return first == name and host.keeper.may_serve(server)
+
+    def _turn(self, name: str, host: _SimulatedHost) -> None:
+        for beats in host.inbox:
+            host.keeper.merge(beats)
+        host.inbox.clear()
+        if self.clock.now_ms() < host.next_beat_ms:
+            return
+        host.next_beat_ms = self.clock.now_ms() + _TIMES.heartbeat_ms
+        host.keeper.next_beat(())
+        for other in self.hosts:
+            if other != name:
+                delay_ms = self.random.uniform(0, _MAX_DELAY_MS)
+                self.in_flight.append(
+                    (self.clock.now_ms() + delay_ms, other, host.keeper.beats())
+                )
+
+    def _deliver(self) -> None:
+        now_ms = self.clock.now_ms()
+        due = [item for item in self.in_flight if item[0] <= now_ms]
+        self.in_flight = [item for item in self.in_flight if item[0] > now_ms]
+        for _, name, beats in due:
+            if name in self.hosts:
+                self.hosts[name].inbox.append(beats)
+
+
+_ACTIONS = strategies.tuples(
+    strategies.sampled_from(("pause", "stop", "kill", "leave")),
+    strategies.sampled_from(_HOSTS),
+    strategies.integers(1, 400).map(lambda tenths: tenths * _TICK_MS),
+)
+
+
+class LeaseKeeperTest(unittest.TestCase):
+    def test_every_server_gets_one_home(self) -> None:
+        domain = _Domain(seed=1)
+        domain.run(3_000)
+        for server in _SERVERS:
+            self.assertEqual(len(domain.homes(server)), 1, server)
+
+    def test_takeover_waits_for_the_lease_and_then_happens(self) -> None:
+        domain = _Domain(seed=2)
+        domain.run(3_000)
+        server = _SERVERS[0]
+        home = domain.homes(server)[0]
+        del domain.hosts[home]
+        domain.run(_TIMES.dead_ms)
+        self.assertEqual(domain.homes(server), [])
+        domain.run(2 * _TIMES.lease_ms)
+        self.assertEqual(len(domain.homes(server)), 1)
+
+    def test_stopped_holder_has_no_lease_when_it_goes_on(self) -> None:
+        domain = _Domain(seed=3)
+        domain.run(3_000)
+        server = _SERVERS[0]
+        name = domain.homes(server)[0]
+        domain.hosts[name].is_stopped = True
+        domain.run(4_000)
+        domain.hosts[name].is_stopped = False
+        self.assertEqual(domain.hosts[name].keeper.lease_left_ms(), 0)
+        domain.check()
+
+    def test_leaving_host_is_replaced_without_a_lease_wait(self) -> None:
+        domain = _Domain(seed=4)
+        domain.run(3_000)
+        server = _SERVERS[0]
+        name = domain.homes(server)[0]
+        domain.hosts[name].keeper.leave()
+        domain.run(2 * _TIMES.heartbeat_ms + 2 * _MAX_DELAY_MS)
+        self.assertEqual(len(domain.homes(server)), 1)
+        self.assertNotEqual(domain.homes(server), [name])
+
+    def test_single_host_needs_nobody(self) -> None:
+        domain = _Domain(seed=5)
+        for name in _HOSTS[1:]:
+            del domain.hosts[name]
+        domain.run(3_000)
+        self.assertEqual(domain.homes(_SERVERS[0]), [_HOSTS[0]])
+
+    @hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+    @hypothesis.given(
+        strategies.integers(0, 1 << 30),
+        strategies.lists(_ACTIONS, min_size=1, max_size=8),
+    )
+    def test_no_server_ever_has_two_homes(
+        self, seed: int, actions: list[tuple[str, str, int]]
+    ) -> None:
+        domain = _Domain(seed)
+        domain.run(2_500)
+        for action, name, wait_ms in actions:
+            host = domain.hosts[name]
+            if action == "pause":
+                host.is_stopped = True
+                domain.run(wait_ms)
+                host.is_stopped = False
+            elif action == "stop":
+                host.is_stopped = True
+            elif action == "leave":
+                host.keeper.leave()
+            else:
+                domain.start(name)
+            domain.check()
+            domain.run(wait_ms)
+        domain.run(2_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
