Stop a crashing request after two servers, also when it is sent at once

The second canary left after twice the p95 (6 ms), while the first one still waited for its connection; when the alone one was lost first, the proof looked at the last loss only and a third server was tried. Resends from other hosts ran at the same time in two slots of one server. Ruled out: a longer canary delay, since it only makes the race rarer. Change: at most two servers are exposed at a time, lost ones included; any loss alone and two servers prove a body; a home runs an unproven body once at a time and refuses its queued copies after a loss. The stand-in loses all requests that run when it crashes, as a process would.

--- a/packages/daemon/cowslipvalve_daemon/_jobs.py
+++ b/packages/daemon/cowslipvalve_daemon/_jobs.py
@@ -1,5 +1,7 @@
 """Work for one backend server."""
 
+from collections.abc import Collection
+
 import attrs
 
 import cowslipvalve_model as model
@@ -24,6 +26,11 @@
         """The name of the query's body."""
         return self.collector.query.fingerprint
 
+    @property
+    def is_trusted(self) -> bool:
+        """Whether the body is known to run without harm."""
+        return self.collector.query.trusted
+
     @property
     def is_suspect(self) -> bool:
         """Whether the job has to run alone."""
@@ -91,19 +98,39 @@
         for job in jobs:
             job.finish(model.Outcome.NOT_RUN, reason)
 
-    def next_is_suspect(self) -> bool:
-        """Whether the first job has to run alone."""
-        return bool(self._jobs) and self._jobs[0].is_suspect
-
-    def take(self, count: int) -> list[ShardJob]:
-        """Returns the first jobs, a suspect only by itself."""
-        if self.next_is_suspect():
-            return [self._jobs.pop(0)]
+    def refuse_body(self, fingerprint: str) -> None:
+        """Refuses the jobs of a body that has just cost a connection."""
+        refused = [j for j in self._jobs if j.fingerprint == fingerprint]
+        self._jobs = [j for j in self._jobs if j.fingerprint != fingerprint]
+        for job in refused:
+            job.finish(model.Outcome.NOT_RUN, model.Reason.QUARANTINED)
+
+    def find_next(self, running: Collection[str]) -> ShardJob | None:
+        """Returns the first job that may start.
+
+        Args:
+          running: Bodies that are running and not known to be harmless; one
+            of them runs only once at a time, so that it crashes one server.
+        """
+        for job in self._jobs:
+            if job.is_trusted or job.fingerprint not in running:
+                return job
+        return None
+
+    def take(self, count: int, running: Collection[str]) -> list[ShardJob]:
+        """Returns the first jobs that may start, a suspect only by itself."""
         taken: list[ShardJob] = []
-        while self._jobs and len(taken) < count:
-            if self._jobs[0].is_suspect:
+        busy = set(running)
+        while len(taken) < count:
+            job = self.find_next(busy)
+            if job is None or (taken and job.is_suspect):
+                break
+            self._jobs.remove(job)
+            taken.append(job)
+            if not job.is_trusted:
+                busy.add(job.fingerprint)
+            if job.is_suspect:
                 break
-            taken.append(self._jobs.pop(0))
         return taken
 
 
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -15,6 +15,7 @@
 from cowslipvalve_daemon import _replicas
 
 _RETRY_MS = 40  # The wait before a shard without another replica is retried.
+_MAX_CANARIES = 2  # Servers that a body may crash before it is stopped.
 _QUERY_NUMBERS = itertools.count(1)
 # The server has not seen these, or has turned them down at no cost.
 _FREE_REASONS = frozenset(
@@ -107,6 +108,7 @@
         self._updated = asyncio.Event()
         self._hits: tuple[model.Hit, ...] = ()
         self._total = 0
+        self._lost_servers: set[str] = set()
         self._hedge_at_ms = float("inf")
         self._proven: Awaitable[None] | None = None
         self.is_quarantined = False
@@ -153,9 +155,7 @@
     async def run(self) -> None:
         """Asks all shards and returns when the answer is as good as it gets."""
         try:
-            if self._needs_canary():
-                await self._run_canary()
-            if not self.is_quarantined:
+            if not self._needs_canary() or await self._run_canary():
                 await self._run_all()
             if self._proven is not None:
                 await self._proven
@@ -214,6 +214,7 @@
         return False
 
     def _add_loss(self, result: model.ShardResult, alone: bool) -> None:
+        self._lost_servers.add(result.server)
         proven = self._tools.quarantine.add_loss(
             self._fingerprint, result.server, alone
         )
@@ -233,28 +234,27 @@
             return False
         return not self._tools.quarantine.is_known(self._fingerprint)
 
-    async def _run_canary(self) -> None:
+    async def _run_canary(self) -> bool:
         """Tries the body on one server, then on one other, before all.
 
         The order of the servers follows from the body alone, so that resends
-        by way of other hosts meet the same two servers.
+        by way of other hosts meet the same two servers. Returns whether a
+        server has answered the body.
         """
         ranked = self._rank_canaries()
-        tried = 0
-        while not self._any_answered() and not self.is_quarantined:
-            if self._is_over():
-                return
-            is_waiting = bool(self._sent)
-            if (not is_waiting or tried == 1) and ranked:
-                index, server = ranked.pop(0)
-                suspect = tried > 0 or self._tools.quarantine.is_suspect(
-                    self._fingerprint
-                )
-                if await self._send_canary(index, server, suspect):
-                    tried += 1
-            elif not is_waiting:
-                return
-            await self._wait_until(self._canary_until_ms(tried))
+        while not self._any_answered():
+            if self.is_quarantined or self._is_past_deadline():
+                return False
+            exposed = len(self._lost_servers) + len(self._sent)
+            if exposed < _MAX_CANARIES and ranked:
+                await self._send_canary(*ranked.pop(0), exposed > 0)
+            elif not self._sent:
+                if self._lost_servers:
+                    return False
+                await self._tools.clock.sleep_ms(_RETRY_MS)
+                ranked = self._rank_canaries()
+            await self._wait_until(self._canary_until_ms())
+        return True
 
     def _rank_canaries(self) -> list[tuple[int, str]]:
         by_server = {
@@ -266,22 +266,28 @@
         return [(by_server[server], server) for server in ranked]
 
     async def _send_canary(
-        self, index: int, server: str, suspect: bool
-    ) -> bool:
+        self, index: int, server: str, is_second: bool
+    ) -> None:
         replica = self._tools.directory.replica(server)
         if replica is None:
-            return False
+            return
+        suspect = is_second or self._tools.quarantine.is_suspect(
+            self._fingerprint
+        )
         self._tools.budget.add_first_attempts(1)
         self._tools.count_attempts(1, False)
         await self._send(replica.home, {server: [index]}, suspect)
-        return True
 
-    def _canary_until_ms(self, tried: int) -> float:
-        if tried != 1:
-            return self._deadline_ms
+    def _canary_until_ms(self) -> float:
+        """Returns when a second server is tried besides a slow first one."""
+        if len(self._sent) != 1 or self._lost_servers:
+            return self._deadline_ms if self._sent else 0.0
         delay_ms = 2 * self._tools.latencies.percentile_ms(95)
         return min(self._deadline_ms, self._tools.clock.now_ms() + delay_ms)
 
+    def _is_past_deadline(self) -> bool:
+        return self._tools.clock.now_ms() >= self._deadline_ms
+
     async def _run_all(self) -> None:
         await self._send_all(
             [
@@ -304,9 +310,9 @@
 
     def _is_over(self) -> bool:
         """Whether waiting on cannot, or need not, make the answer better."""
-        now_ms = self._tools.clock.now_ms()
-        if now_ms >= self._deadline_ms:
+        if self._is_past_deadline():
             return True
+        now_ms = self._tools.clock.now_ms()
         waiting = [s for s in self._shards.values() if self._is_hopeful(s)]
         if not waiting:
             return True
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -53,6 +53,7 @@
         self._wake = asyncio.Condition()
         self._running = 0
         self._exclusive = False
+        self._unproven: set[str] = set()
         self._service_ms = 5.0
         self._boot_id = ""
         self._draining_until_ms = _NEVER
@@ -85,9 +86,9 @@
 
     async def enqueue(self, job: _jobs.ShardJob) -> None:
         """Takes a job, or refuses it at once."""
-        reason = self._refusal(job.fingerprint, job.deadline_ms)
-        if job.collector.query.trusted:
+        if job.is_trusted:
             self._strikes.pop(job.fingerprint, None)
+        reason = self._refusal(job.fingerprint, job.deadline_ms)
         if reason is not model.Reason.NONE:
             job.finish(model.Outcome.NOT_RUN, reason)
             return
@@ -150,7 +151,7 @@
         while not self.should_stop:
             async with self._wake:
                 await self._wake.wait_for(
-                    lambda: len(self._queue) > 0 and self._may_start(index)
+                    lambda: self._has_work() and self._may_start(index)
                 )
                 batch, exclusive = self._take_batch()
             if not batch:
@@ -158,13 +159,18 @@
             try:
                 await self._send(batch)
             finally:
+                self._unproven.difference_update(_unproven_bodies(batch))
                 await self._release(exclusive)
 
+    def _has_work(self) -> bool:
+        return self._queue.find_next(self._unproven) is not None
+
     def _may_start(self, index: int) -> bool:
         slots = self.server.spec.slots
         if self._exclusive or self._running >= slots:
             return False
-        if self._queue.next_is_suspect() and self._running > 0:
+        job = self._queue.find_next(self._unproven)
+        if job is not None and job.is_suspect and self._running > 0:
             return False
         if self._running >= self._gate.concurrency(slots):
             return False
@@ -213,9 +219,10 @@
         """Takes jobs for one slot and occupies it; called under the lock."""
         now_ms = self._clock.now_ms()
         self._queue.refuse_expired(now_ms)
-        exclusive = self._queue.next_is_suspect()
-        batch = self._queue.take(self._batch_size())
+        batch = self._queue.take(self._batch_size(), self._unproven)
+        exclusive = bool(batch) and batch[0].is_suspect
         if batch:
+            self._unproven.update(_unproven_bodies(batch))
             self._running += 1
             self._exclusive = exclusive
             self._gate.start(len(batch))
@@ -349,8 +356,9 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         for job in batch:
-            if not job.collector.query.trusted:
+            if not job.is_trusted:
                 self._strikes[job.fingerprint] = now_ms
+                self._queue.refuse_body(job.fingerprint)
         self._restart_warm_up("connection-lost")
         self._note_failure(error)
 
@@ -422,6 +430,10 @@
             self._memberships.write_server(record)
 
 
+def _unproven_bodies(batch: list[_jobs.ShardJob]) -> set[str]:
+    return {job.fingerprint for job in batch if not job.is_trusted}
+
+
 def _finish_all(
     batch: list[_jobs.ShardJob], outcome: model.Outcome, reason: model.Reason
 ) -> None:
--- a/packages/peers/cowslipvalve_peers/tests/test_leases.py
+++ b/packages/peers/cowslipvalve_peers/tests/test_leases.py
@@ -103,6 +103,7 @@
 
 
 class LeaseKeeperTest(unittest.TestCase):
+
     def test_every_server_gets_one_home(self) -> None:
         domain = _Domain(seed=1)
         domain.run(3_000)
--- a/packages/policy/cowslipvalve_policy/_fingerprints.py
+++ b/packages/policy/cowslipvalve_policy/_fingerprints.py
@@ -48,20 +48,20 @@
 
     # The servers whose connections were lost while they ran it.
     servers: tuple[str, ...] = ()
-    # Whether it ran alone when the last connection was lost.
+    # Whether it ran alone when one of them was lost.
     alone: bool = False
 
     @property
     def is_proven(self) -> bool:
         """Whether the body, and no neighbour of it, crashes servers."""
-        return len(self.servers) > 1 and self.alone
+        return len(set(self.servers)) > 1 and self.alone
 
 
 class CrashRecord:
     """Counts lost connections against the bodies that were running.
 
     A first loss makes every running body a suspect. Suspects run alone, so
-    that a second loss has one cause. An answer clears a suspect.
+    that the other loss has one cause. An answer clears a suspect.
     """
 
     def __init__(self) -> None:
@@ -70,7 +70,7 @@
     def add(self, fingerprint: str, server: str, alone: bool) -> Strikes:
         """Counts a lost connection and returns all that is known."""
         old = self._strikes.get(fingerprint, Strikes())
-        strikes = Strikes((*old.servers, server), alone)
+        strikes = Strikes((*old.servers, server), old.alone or alone)
         self._strikes[fingerprint] = strikes
         return strikes
 
--- a/standins/cowslipvalve_standins/_data.py
+++ b/standins/cowslipvalve_standins/_data.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import heapq
+from collections.abc import Collection
 
 import cowslipvalve_model as model
 
@@ -20,12 +21,16 @@
 
 
 def find_all_hits(
-    snapshot: model.Snapshot, text: str, count: int
+    snapshot: model.Snapshot,
+    text: str,
+    count: int,
+    missing: Collection[int] = (),
 ) -> tuple[model.Hit, ...]:
-    """Returns the best hits of all shards, which a whole answer holds."""
+    """Returns the best hits of all shards but the missing ones."""
     hits = [
         hit
         for index in range(snapshot.count)
+        if index not in missing
         for hit in find_hits(snapshot, index, text, count)
     ]
     return _choose_best(hits, count)
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -77,8 +77,9 @@
 class Deployment:
     """A running deployment; used as an async context manager."""
 
-    def __init__(self, shape: DeploymentShape) -> None:
+    def __init__(self, shape: DeploymentShape, ablation: str = "") -> None:
         self.shape = shape
+        self._ablation = ablation
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="cowslipvalve-"))
         ports = choose_ports(3 * len(shape.hosts) + 1)
         self.platform_port = ports.pop()
@@ -127,8 +128,12 @@
         host = self.hosts[name]
         path = self.directory / f"{name}.json"
         path.write_bytes(orjson.dumps({**self._settings(host), **settings}))
+        module, arguments = "cowslipvalve_daemon", [str(path)]
+        if self._ablation:
+            module = "cowslipvalve_standins.ablated"
+            arguments.insert(0, self._ablation)
         host.process = await self._start(
-            "cowslipvalve_daemon", str(path), log=self.log_path(name)
+            module, *arguments, log=self.log_path(name)
         )
 
     def log_path(self, name: str) -> pathlib.Path:
--- a/standins/cowslipvalve_standins/_server.py
+++ b/standins/cowslipvalve_standins/_server.py
@@ -168,6 +168,7 @@
             return self._reply(answers)
         if self._must_crash(str([query.body for query in batch.queries])):
             return self._crash(request)
+        boot_id = self._boot_id
         if self._faults.hang:
             await asyncio.sleep(_HANG_S)
         if self._faults.lose == "before":
@@ -176,6 +177,8 @@
         await self._work(self._shape.batch_ms + per_query_ms)
         if request.transport is None or request.transport.is_closing():
             self._stats.cancelled += 1
+        if boot_id != self._boot_id:
+            return _lose_answer(request)
         answers = tuple(self._answer(query) for query in batch.queries)
         if self._faults.lose == "after":
             return _lose_answer(request)
--- /dev/null
+++ b/standins/cowslipvalve_standins/_sessions.py
@@ -0,0 +1,122 @@
+"""Sessions with a running deployment, and their golden transcripts."""
+
+import os
+import re
+import unittest
+from typing import Any
+
+import approvaltests
+import orjson
+
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _loads
+from cowslipvalve_standins import _shapes
+
+# Values that differ from run to run and say nothing about the behaviour.
+_VARYING = (
+    (re.compile(r'"requestId": "[^"]*"'), '"requestId": "<id>"'),
+    (re.compile(r'"ticket": "[^"]*"'), '"ticket": "<ticket>"'),
+    (re.compile(r'"server": "[^"]*"'), '"server": "<server>"'),
+    (re.compile(r'"peer": "[^"]*"'), '"peer": "<peer>"'),
+    (re.compile(r"\d{4}-\d\d-\d\dT[0-9:+]*"), "<time>"),
+)
+
+
+class Transcript:
+    """What went into a deployment and what came out."""
+
+    def __init__(self) -> None:
+        self._lines: list[str] = []
+
+    def add_input(self, text: str) -> None:
+        """Adds a request, a fault or an operator's write."""
+        self._lines.append(f"> {text}")
+
+    def add_output(self, plain: Any) -> None:
+        """Adds an answer, a status or a part of the audit trail."""
+        text = plain
+        if not isinstance(plain, str):
+            text = orjson.dumps(plain, option=orjson.OPT_SORT_KEYS).decode()
+            text = text.replace('":', '": ').replace(",", ", ")
+        for pattern, replacement in _VARYING:
+            text = pattern.sub(replacement, text)
+        self._lines.append(f"  {text}")
+
+    def verify(self) -> None:
+        """Compares the transcript with the approved file of the test."""
+        approvaltests.verify("\n".join(self._lines) + "\n")
+
+
+class SessionTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests that run a deployment of their own."""
+
+    search = "price-lists"
+    shards = 4
+    host_count = 6
+
+    def site(self) -> _shapes.SiteShape:
+        """Returns the site that the tests of this class run."""
+        return _shapes.create_haapaniemi(self.shards, self.host_count)
+
+    async def start(
+        self, site: _shapes.SiteShape | None = None, **settings: Any
+    ) -> _deployments.Deployment:
+        """Starts a deployment that ends with the test."""
+        shape = _shapes.create_deployment_shape(site or self.site(), **settings)
+        deployment = _deployments.Deployment(
+            shape, os.environ.get("COWSLIPVALVE_ABLATION", "")
+        )
+        await self.enterAsyncContext(deployment)
+        await deployment.wait_until_ready(search=self.search)
+        return deployment
+
+    def plan(
+        self, deployment: _deployments.Deployment, **fields: Any
+    ) -> _loads.LoadPlan:
+        """Returns a plan for the test's search, changed by the fields."""
+        values: dict[str, Any] = {
+            "search": self.search,
+            "hosts": tuple(deployment.hosts),
+            "counts": {_shapes.FIRST_SNAPSHOT: self.shards},
+            "rate": 60.0,
+            "duration_ms": 3_000.0,
+        }
+        return _loads.LoadPlan(**{**values, **fields})
+
+    def assert_right(self, result: _loads.LoadResult) -> None:
+        """Checks that no answer of a load was wrong."""
+        self.assertEqual(result.wrong, [])
+        self.assertGreater(result.sent, 0)
+
+    def assert_answer(
+        self, answer: dict[str, Any], text: str, missing: list[int]
+    ) -> None:
+        """Checks an answer and which shards it lacks."""
+        self.assertIn("coverage", answer, answer)
+        counts = {_shapes.FIRST_SNAPSHOT: self.shards}
+        fault = _loads.find_fault(self.search, text, answer, counts)
+        self.assertEqual(fault, "")
+        self.assertEqual(answer["coverage"]["missing"], missing)
+
+
+run_load = _loads.run_load
+
+
+async def count_stats(
+    deployment: _deployments.Deployment, field: str, domain: str = ""
+) -> int:
+    """Returns the sum of a number over the servers of a domain, or of all."""
+    total = 0
+    for name, shape in deployment.shape.servers:
+        if domain in ("", name):
+            total += (await deployment.server_stats(shape.name))[field]
+    return total
+
+
+async def count_runs(deployment: _deployments.Deployment, order: str) -> int:
+    """Returns how often the servers have run an order."""
+    runs = 0
+    for _, shape in deployment.shape.servers:
+        stats = await deployment.server_stats(shape.name)
+        runs += stats["orders"].get(order, 0)
+    return runs
