Wake waiting orders when a warming server may take the next one

Cause: an order waits on the server's condition, but only queued reads made the timer notify it, so that an order behind the warm-up pacing slept until its deadline and was refused. Also found: test deployments took ports that Linux then gave to outgoing connections (1 of 8 starts failed with address already in use); ports now lie below that range.

--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -52,6 +52,7 @@
         self._queue = _jobs.create_job_queue()
         self._wake = asyncio.Condition()
         self._running = 0
+        self._waiting_orders = 0
         self._exclusive = False
         self._unproven: set[str] = set()
         self._service_ms = 5.0
@@ -100,22 +101,31 @@
         reason = self._refusal(job.fingerprint, job.deadline_ms)
         if reason is not model.Reason.NONE:
             return model.HomeOrderReply(model.Outcome.NOT_RUN, reason)
-        async with self._wake:
-            try:
-                left_ms = job.deadline_ms - self._clock.now_ms()
+        if not await self._wait_for_slot(job.deadline_ms):
+            return model.HomeOrderReply(
+                model.Outcome.NOT_RUN, model.Reason.DEADLINE
+            )
+        try:
+            return await self._send_order(job)
+        finally:
+            await self._release(exclusive=False)
+
+    async def _wait_for_slot(self, deadline_ms: float) -> bool:
+        """Occupies a slot; returns whether that was possible in time."""
+        left_ms = deadline_ms - self._clock.now_ms()
+        self._waiting_orders += 1
+        try:
+            async with self._wake:
                 await asyncio.wait_for(
                     self._wake.wait_for(lambda: self._may_start(0)),
                     model.to_seconds(max(0.0, left_ms)),
                 )
-            except TimeoutError:
-                return model.HomeOrderReply(
-                    model.Outcome.NOT_RUN, model.Reason.DEADLINE
-                )
-            self._running += 1
-        try:
-            return await self._send_order(job)
+                self._running += 1
+        except asyncio.TimeoutError:
+            return False
         finally:
-            await self._release(exclusive=False)
+            self._waiting_orders -= 1
+        return True
 
     async def lose_home(self) -> None:
         """Refuses what waits, because another host is the home now."""
@@ -142,7 +152,7 @@
     async def _expire(self) -> None:
         """Refuses jobs that cannot start in time, and rechecks the lease."""
         while not self.should_stop:
-            if len(self._queue):
+            if len(self._queue) or self._waiting_orders:
                 self._queue.refuse_expired(self._clock.now_ms())
                 await self._notify()
             await self._clock.sleep_ms(_RECHECK_MS)
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -22,19 +23,31 @@
 _POLL_MS = 50
 _STOP_TIMEOUT_S = 45.0
 _LOCAL = "127.0.0.1"
+_FIRST_PORT = 20_000
+_LAST_PORT = 32_000  # Linux gives outgoing connections ports from 32768 on.
+_used_ports: set[int] = set()
 
 
 def choose_ports(count: int) -> list[int]:
-    """Returns free ports of this machine."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns free ports that no outgoing connection is given."""
+    candidates = list(range(_FIRST_PORT, _LAST_PORT))
+    random.shuffle(candidates)
+    found: list[int] = []
+    while len(found) < count:
+        port = candidates.pop()
+        with socket.socket() as probe:
+            if port not in _used_ports and _can_bind(probe, port):
+                found.append(port)
+    _used_ports.update(found)
+    return found
+
+
+def _can_bind(probe: socket.socket, port: int) -> bool:
     try:
-        for item in sockets:
-            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            item.bind((_LOCAL, 0))
-        return [int(item.getsockname()[1]) for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+        probe.bind((_LOCAL, port))
+    except OSError:
+        return False
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -167,7 +180,8 @@
         for name in names or self.hosts:
             while not await self._is_ready(name, search):
                 if asyncio.get_running_loop().time() > deadline:
-                    raise TimeoutError(f"{name} did not get ready")
+                    log = self.log_path(name).read_text()[-2_000:]
+                    raise TimeoutError(f"{name} did not get ready: {log}")
                 await asyncio.sleep(model.to_seconds(_POLL_MS))
 
     async def query(
