Prove placement and configuration under failure, with a golden session

Cause: the promises on domains, leaving servers and the accepted configuration had no proof. Found on the way: a text where a list belongs counted as a list of letters; messages named attributes instead of JSON fields; a body that is no object gave a Python error. Change: sessions for a domain that leaves and returns under load, the platform away just after the write, a host cut from the platform, a server that drains while its state endpoint lies, racing operators with lost answers and a bad resource, a restart in an outage; one approved transcript of a whole session.

--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -121,7 +121,7 @@
                     model.to_seconds(max(0.0, left_ms)),
                 )
                 self._running += 1
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return False
         finally:
             self._waiting_orders -= 1
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
@@ -0,0 +1,291 @@
+"""Sessions in which operators take domains and servers out."""
+
+import asyncio
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _sessions
+
+_TARGET_S = 3.0  # By then no new work may go to what was taken out.
+_DOMAIN = "seinajoki"
+_ALONE = "rovaniemi-1"
+_NOWHERE = "http://127.0.0.1:9"  # The discard port, on which nobody listens.
+
+
+async def write_placement(
+    deployment: _deployments.Deployment, kind: str, name: str, placement: str
+) -> None:
+    """Writes the placement of a resource as an operator does."""
+    stored = await deployment.client.get(kind, name)
+    spec = {**stored.spec, "placement": placement}
+    await deployment.client.update(attrs.evolve(stored, spec=spec))
+
+
+class DomainOutTest(_sessions.SessionTest):
+    """A domain that is out gets no new work, and service goes on."""
+
+    async def test_domain_leaves_and_returns_under_load(self) -> None:
+        deployment = await self.start()
+        others = tuple(h for h in deployment.hosts if _DOMAIN not in h)
+        load = asyncio.ensure_future(
+            _sessions.run_load(
+                deployment,
+                self.plan(deployment, hosts=others, duration_ms=9_000.0),
+            )
+        )
+        await asyncio.sleep(1.0)
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await asyncio.sleep(_TARGET_S)
+        before = await _sessions.count_stats(deployment, "queries", _DOMAIN)
+        await asyncio.sleep(1.5)
+        after = await _sessions.count_stats(deployment, "queries", _DOMAIN)
+        self.assertEqual(after, before)
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "in")
+        result = await load
+        self.assert_right(result)
+        self.assertEqual(dict(result.failures), {})
+        self.assertEqual(result.mean_coverage, 1.0)
+        returned = await _sessions.count_stats(deployment, "queries", _DOMAIN)
+        self.assertGreater(returned, after)
+
+    async def test_platform_goes_away_just_after_the_write(self) -> None:
+        deployment = await self.start()
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        # Watchers have seen the write; the configuration is not committed.
+        await asyncio.sleep(0.02)
+        await deployment.put_platform_faults(away=True)
+        await self._check_no_work(deployment, _DOMAIN)
+
+    async def test_host_that_is_cut_from_the_platform_hears_it(self) -> None:
+        deployment = await self.start()
+        await deployment.kill_host(_ALONE)
+        await deployment.start_host(_ALONE, platformUrl=_NOWHERE)
+        await deployment.wait_until_ready((_ALONE,), self.search)
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await self._check_no_work(deployment, _DOMAIN, (_ALONE,))
+
+    async def _check_no_work(
+        self,
+        deployment: _deployments.Deployment,
+        domain: str,
+        hosts: tuple[str, ...] = (),
+    ) -> None:
+        await asyncio.sleep(_TARGET_S)
+        before = await _sessions.count_stats(deployment, "queries", domain)
+        for host in hosts or deployment.hosts:
+            for number in range(10):
+                text = f"{host} {number}"
+                status, answer = await deployment.query(host, self.search, text)
+                self.assertEqual(status, 200, answer)
+                self.assert_answer(answer, text, [])
+        after = await _sessions.count_stats(deployment, "queries", domain)
+        self.assertEqual(after, before)
+
+
+class ServerOutTest(_sessions.SessionTest):
+    """A leaving server gets no new work."""
+
+    async def test_server_is_drained_by_its_resource(self) -> None:
+        deployment = await self.start()
+        name = "price-lists-1-a"
+        await write_placement(deployment, "BackendServer", name, "out")
+        await self._check_no_work(deployment, name)
+
+    async def test_server_that_drains_is_believed_despite_its_state(
+        self,
+    ) -> None:
+        deployment = await self.start()
+        name = "price-lists-1-a"
+        faults: dict[str, Any] = {"draining": True, "lies": True}
+        await deployment.put_server(name, "/faults", faults)
+        result = await _sessions.run_load(
+            deployment, self.plan(deployment, duration_ms=_TARGET_S * 1_000)
+        )
+        self.assert_right(result)
+        self.assertEqual(result.mean_coverage, 1.0)
+        await self._check_no_work(deployment, name)
+
+    async def _check_no_work(
+        self, deployment: _deployments.Deployment, name: str
+    ) -> None:
+        await asyncio.sleep(_TARGET_S)
+        before = await deployment.server_stats(name)
+        result = await _sessions.run_load(deployment, self.plan(deployment))
+        self.assert_right(result)
+        self.assertEqual(result.mean_coverage, 1.0)
+        after = await deployment.server_stats(name)
+        self.assertEqual(after["queries"], before["queries"])
+
+
+class ConfigurationTest(_sessions.SessionTest):
+    """An accepted configuration is in force everywhere and stays so."""
+
+    async def test_host_restarted_in_an_outage_gets_it_from_a_peer(
+        self,
+    ) -> None:
+        deployment = await self.start()
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await asyncio.sleep(_TARGET_S)
+        await deployment.put_platform_faults(away=True)
+        await deployment.kill_host(_ALONE)
+        await deployment.start_host(_ALONE)
+        await deployment.wait_until_ready((_ALONE,), self.search)
+        numbers = await self._numbers(deployment)
+        self.assertEqual(set(numbers.values()), {2}, numbers)
+
+    async def test_racing_operators_lost_answers_and_a_bad_resource(
+        self,
+    ) -> None:
+        deployment = await self.start()
+        await deployment.put_platform_faults(lost_answers=2)
+        names = [f"price-lists-{index}-a" for index in range(self.shards)]
+        writes = [
+            write_placement(deployment, "BackendServer", name, "out")
+            for name in names
+        ]
+        await asyncio.gather(*writes, return_exceptions=True)
+        search = await deployment.client.get("Search", self.search)
+        bad = {**search.spec, "minCoverage": 7}
+        await deployment.client.update(attrs.evolve(search, spec=bad))
+        await asyncio.sleep(_TARGET_S)
+        numbers = await self._numbers(deployment)
+        self.assertEqual(len(set(numbers.values())), 1, numbers)
+        status, answer = await deployment.query("kuopio-1", self.search, "x")
+        self.assertEqual(status, 200)
+        self.assert_answer(answer, "x", [])
+        await self._check_statuses(deployment, names)
+
+    async def _check_statuses(
+        self, deployment: _deployments.Deployment, names: list[str]
+    ) -> None:
+        search = await deployment.client.get("Search", self.search)
+        self.assertEqual(search.status["conditions"][0]["status"], "False")
+        self.assertIn("minCoverage", search.status["conditions"][0]["message"])
+        for name in names:
+            server = await deployment.client.get("BackendServer", name)
+            self.assertEqual(server.status["state"], "out", name)
+
+    async def test_numbers_only_grow(self) -> None:
+        deployment = await self.start()
+        highest: dict[str, int] = {}
+        for number in range(6):
+            placement = "out" if number % 2 == 0 else "in"
+            await write_placement(
+                deployment, "BackendServer", "price-lists-0-a", placement
+            )
+            if number == 2:
+                await deployment.kill_host(_ALONE)
+                await deployment.start_host(_ALONE)
+                highest.pop(_ALONE)
+            for _ in range(5):
+                await asyncio.sleep(0.1)
+                numbers = await self._numbers(deployment)
+                for host, seen in numbers.items():
+                    self.assertGreaterEqual(seen, highest.get(host, 0))
+                    highest[host] = seen
+        await asyncio.sleep(_TARGET_S)
+        numbers = await self._numbers(deployment)
+        self.assertEqual(len(set(numbers.values())), 1, numbers)
+
+    async def _numbers(
+        self, deployment: _deployments.Deployment
+    ) -> dict[str, int]:
+        """Returns the number in force on each host that answers."""
+        numbers = {}
+        for host in deployment.hosts:
+            delta = await deployment.read_configuration(host)
+            if delta is not None:
+                numbers[host] = delta.number
+        return numbers
+
+
+class WholeSessionTest(_sessions.SessionTest):
+    """One session from the first declaration to the audit trail."""
+
+    async def test_session(self) -> None:
+        deployment = await self.start()
+        transcript = _sessions.Transcript()
+        await self._read(deployment, transcript)
+        await self._order(deployment, transcript)
+        await self._take_out(deployment, transcript)
+        transcript.verify()
+
+    async def _read(
+        self,
+        deployment: _deployments.Deployment,
+        transcript: _sessions.Transcript,
+    ) -> None:
+        path = f"/v1/searches/{self.search}/query"
+        bodies: tuple[Any, ...] = (
+            {"query": {"text": "elk"}},
+            {"query": {"text": "hare"}, "items": ["hare-2", "hare-7"]},
+            {"query": "elk"},
+            {"query": {}, "deadlineMs": "soon"},
+            {"query": {}, "deadlineMs": 0},
+            {"quest": {}},
+            ["elk"],
+            {"query": {"text": "x" * 70_000}},
+        )
+        for body in bodies:
+            transcript.add_input(f"POST {path} {str(body)[:80]}")
+            status, answer = await deployment.post("kuopio-1", path, body)
+            transcript.add_output(f"status {status}")
+            transcript.add_output(answer)
+        transcript.add_input("POST /v1/searches/none/query")
+        _, answer = await deployment.query("kuopio-1", "none", "elk")
+        transcript.add_output(answer)
+        faults: dict[str, Any] = {"wrong_shard": True}
+        for name in ("price-lists-3-a", "price-lists-3-b"):
+            transcript.add_input(f"fault of {name}: {faults}")
+            await deployment.put_server(name, "/faults", faults)
+        _, answer = await deployment.query("kuopio-1", self.search, "lost")
+        transcript.add_output(answer["coverage"])
+        for name in ("price-lists-3-a", "price-lists-3-b"):
+            await deployment.put_server(name, "/faults", {"wrong_shard": False})
+
+    async def _order(
+        self,
+        deployment: _deployments.Deployment,
+        transcript: _sessions.Transcript,
+    ) -> None:
+        for search, guard in (("orders", "ticket"), ("weighings", "key")):
+            value = "weighing-1"
+            if guard == "ticket":
+                transcript.add_input(f"POST /v1/searches/{search}/tickets")
+                _, ticket = await deployment.post(
+                    "kuopio-1", f"/v1/searches/{search}/tickets", {}
+                )
+                transcript.add_output(ticket)
+                value = ticket["ticket"]
+            body = {"order": {"id": f"{search}-1"}, guard: value}
+            for host in ("kuopio-1", "rovaniemi-1"):
+                path = f"/v1/searches/{search}/orders"
+                transcript.add_input(f"POST {path} to {host}")
+                _, answer = await deployment.post(host, path, body)
+                transcript.add_output(answer)
+            runs = await _sessions.count_runs(deployment, f"{search}-1")
+            transcript.add_output(f"runs: {runs}")
+
+    async def _take_out(
+        self,
+        deployment: _deployments.Deployment,
+        transcript: _sessions.Transcript,
+    ) -> None:
+        transcript.add_input(f"write FailureDomain {_DOMAIN} placement out")
+        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await asyncio.sleep(_TARGET_S)
+        for name in ("kuopio", "rovaniemi", _DOMAIN):
+            item = await deployment.client.get("FailureDomain", name)
+            transcript.add_output({name: item.status})
+        item = await deployment.client.get("Search", self.search)
+        transcript.add_output({self.search: item.status})
+        listed = await deployment.client.list("AuditRecord")
+        for record in listed.items:
+            change = model.from_plain(model.ConfigurationChange, record.spec)
+            transcript.add_output(
+                f"audit {change.number} {change.operator} {change.kind}"
+                f" {change.name}: {change.before and 'changed' or 'new'}"
+            )
--- a/packages/model/cowslipvalve_model/_calls.py
+++ b/packages/model/cowslipvalve_model/_calls.py
@@ -13,7 +13,7 @@
     _instance: object, field: "attrs.Attribute[Any]", value: int | None
 ) -> None:
     if value is not None and value <= 0:
-        raise ValueError(f"{field.name} must be positive, not {value}")
+        raise ValueError(f"'{field.name}' must be positive, not {value}")
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/model/cowslipvalve_model/_codec.py
+++ b/packages/model/cowslipvalve_model/_codec.py
@@ -3,6 +3,7 @@
 import enum
 import functools
 import re
+import typing
 from typing import Any, TypeVar
 
 import attrs
@@ -33,6 +34,20 @@
     return value
 
 
+def _is_list_type(kind: Any) -> bool:
+    arguments = typing.get_args(kind)
+    return typing.get_origin(kind) is tuple and arguments[1:] == (...,)
+
+
+def _check_list(converter: cattrs.Converter, value: Any, kind: Any) -> Any:
+    """Refuses text, which would otherwise count as a list of letters."""
+    if not isinstance(value, (list, tuple)):
+        raise ValueError(f"expected a list, not {value!r:.60}")
+    element: Any = typing.get_args(kind)[0]
+    as_list: Any = list.__class_getitem__(element)
+    return tuple(converter.structure(value, as_list))
+
+
 def _check_member(value: Any, kind: type[enum.Enum]) -> Any:
     try:
         return kind(value)
@@ -99,6 +114,10 @@
     if strict:
         for kind in (int, float, str, bool):
             converter.register_structure_hook(kind, _check_scalar)
+        converter.register_structure_hook_func(
+            _is_list_type,
+            lambda value, kind: _check_list(converter, value, kind),
+        )
     return converter
 
 
@@ -151,6 +170,10 @@
       InputError: A field is missing, unknown or of another type; the message
         names each such field and what is wrong with it.
     """
+    if not isinstance(plain, dict):
+        raise _errors.InputError(
+            f"expected a JSON object, not {plain!r:.60}", step="check-fields"
+        )
     try:
         return _STRICT.structure(plain, kind)
     except cattrs.BaseValidationError as error:
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -223,6 +223,19 @@
             "PUT", f"{_LOCAL}:{self.platform_port}", "/faults", faults
         )
 
+    async def read_configuration(
+        self, host: str
+    ) -> model.ConfigurationDelta | None:
+        """Returns the configuration in force on a host that answers."""
+        port = self.hosts[host].peer_port
+        try:
+            plain = await self._request(
+                "GET", f"{_LOCAL}:{port}", "/peer/configuration", None
+            )
+        except aiohttp.ClientError:
+            return None
+        return model.from_plain(model.ConfigurationDelta, plain)
+
     async def platform_calls(self) -> dict[str, int]:
         """Returns how often each call of the platform was made."""
         return await self._request(
