Start the warm-up clock at the first answer of a server

Cause: the gate counted its doubling time from its own creation, or from before the first answer, so that it called a server warm up to 500 ms before the server was. Found by the new home sessions: one collapse each under 400 queries/s and while hosts come and go. Ruled out: too many at a time (overruns were 0 in both runs). Change: the first good answer starts the clock.

--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_home_sessions.py
@@ -0,0 +1,225 @@
+"""Sessions in which the homes of servers fail, stop or leave."""
+
+import asyncio
+import signal
+from typing import Any
+
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _sessions
+from cowslipvalve_standins import _shapes
+
+_HOME_TAKEOVER_S = 4.0  # A lease, a heartbeat and the ramp of the new home.
+
+
+async def find_home(deployment: _deployments.Deployment, server: str) -> str:
+    """Returns the home of a server, as its status shows it."""
+    for _ in range(100):
+        item = await deployment.client.get("BackendServer", server)
+        if item.status.get("home"):
+            return str(item.status["home"])
+        await asyncio.sleep(0.1)
+    raise TimeoutError(f"{server} got no home")
+
+
+class HomeTest(_sessions.SessionTest):
+    """Base of the sessions that look at slots and cold starts."""
+
+    async def assert_never_overrun(
+        self, deployment: _deployments.Deployment
+    ) -> None:
+        """Checks that no server got more work than it bears."""
+        for _, shape in deployment.shape.servers:
+            stats = await deployment.server_stats(shape.name)
+            self.assertEqual(stats["overruns"], 0, (shape.name, stats))
+            self.assertEqual(stats["collapses"], 0, (shape.name, stats))
+            self.assertEqual(stats["refused_connections"], 0, shape.name)
+
+
+class ColdServerTest(HomeTest):
+    """A cold server gets no more work than it bears."""
+
+    async def test_restart_and_silent_cooling_under_load(self) -> None:
+        deployment = await self.start()
+        load = asyncio.ensure_future(
+            _sessions.run_load(
+                deployment,
+                self.plan(deployment, rate=80.0, duration_ms=8_000.0),
+            )
+        )
+        await asyncio.sleep(1.5)
+        await deployment.post_server("price-lists-0-a", "/crash")
+        await asyncio.sleep(2.0)
+        await deployment.post_server("price-lists-1-b", "/cool")
+        result = await load
+        self.assert_right(result)
+        self.assertEqual(dict(result.failures), {})
+        stats = await deployment.server_stats("price-lists-0-a")
+        self.assertEqual(stats["collapses"], 0, stats)
+
+    async def test_home_is_killed_in_the_ramp(self) -> None:
+        await self._check_in_the_ramp(signal.SIGKILL)
+
+    async def test_home_is_stopped_in_the_ramp_and_goes_on(self) -> None:
+        await self._check_in_the_ramp(signal.SIGSTOP)
+
+    async def _check_in_the_ramp(self, number: signal.Signals) -> None:
+        deployment = await self.start()
+        server = "price-lists-0-a"
+        home = await find_home(deployment, server)
+        hosts = tuple(h for h in deployment.hosts if h != home)
+        plan = self.plan(
+            deployment, hosts=hosts, rate=80.0, duration_ms=9_000.0
+        )
+        load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
+        await asyncio.sleep(1.0)
+        await deployment.post_server(server, "/crash")
+        await asyncio.sleep(0.5)
+        deployment.send_signal(home, number)
+        await asyncio.sleep(_HOME_TAKEOVER_S)
+        if number is signal.SIGSTOP:
+            deployment.send_signal(home, signal.SIGCONT)
+        result = await load
+        self.assert_right(result)
+        await self.assert_never_overrun(deployment)
+        self.assertNotEqual(await find_home(deployment, server), "")
+
+
+class SlotTest(HomeTest):
+    """Limits are exact, whatever the number of hosts."""
+
+    async def test_overload_is_refused_and_not_passed_on(self) -> None:
+        deployment = await self.start()
+        plan = self.plan(deployment, rate=400.0, duration_ms=4_000.0)
+        result = await _sessions.run_load(deployment, plan)
+        self.assert_right(result)
+        await self.assert_never_overrun(deployment)
+        for _, shape in deployment.shape.servers:
+            stats = await deployment.server_stats(shape.name)
+            self.assertLessEqual(stats["max_running"], shape.slots)
+
+    async def test_hosts_come_and_go_under_load(self) -> None:
+        deployment = await self.start()
+        hosts = ("kuopio-1", "rovaniemi-1")
+        plan = self.plan(
+            deployment, hosts=hosts, rate=80.0, duration_ms=12_000.0
+        )
+        load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
+        for name in ("seinajoki-1", "kuopio-2"):
+            await asyncio.sleep(0.5)
+            await deployment.kill_host(name)
+            await deployment.start_host(name)
+            await asyncio.sleep(_HOME_TAKEOVER_S)
+        result = await load
+        self.assert_right(result)
+        await self.assert_never_overrun(deployment)
+
+
+class ShutdownTest(HomeTest):
+    """A graceful shutdown cuts no request."""
+
+    async def test_hosts_stop_under_load(self) -> None:
+        deployment = await self.start()
+        stopping = ("seinajoki-1", "kuopio-1")
+        staying = tuple(h for h in deployment.hosts if h not in stopping)
+        plan = self.plan(deployment, hosts=staying, duration_ms=7_000.0)
+        load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
+        await asyncio.sleep(1.0)
+        for name in stopping:
+            deployment.send_signal(name, signal.SIGTERM)
+            self.assertEqual(await deployment.wait_for_exit(name), 0)
+        result = await load
+        self.assert_right(result)
+        self.assertEqual(dict(result.failures), {})
+        self.assertEqual(result.mean_coverage, 1.0)
+        await self.assert_never_overrun(deployment)
+
+    async def test_long_request_ends_before_the_host(self) -> None:
+        deployment = await self.start()
+        for _, shape in deployment.shape.servers:
+            faults: dict[str, Any] = {"straggle_ms": 2_500.0}
+            await deployment.put_server(shape.name, "/faults", faults)
+        running = asyncio.ensure_future(
+            deployment.query("kuopio-1", self.search, "slow", deadlineMs=8_000)
+        )
+        await asyncio.sleep(0.3)
+        deployment.send_signal("kuopio-1", signal.SIGTERM)
+        status, answer = await running
+        self.assertEqual(status, 200, answer)
+        self.assert_answer(answer, "slow", [])
+        self.assertEqual(await deployment.wait_for_exit("kuopio-1"), 0)
+
+
+class CutDomainTest(HomeTest):
+    """A domain that is cut off goes on serving what it can.
+
+    The hosts of the other domains are stopped, so that from inside the domain
+    all links to them are silent.
+    """
+
+    def site(self) -> _shapes.SiteShape:
+        return _shapes.create_haapaniemi(
+            3, 6, {"minCoverage": 0.1, "patienceMs": 300}
+        )
+
+    shards = 3
+
+    async def test_cut_domain_without_platform_that_loses_a_host(self) -> None:
+        deployment = await self.start()
+        inside = ("seinajoki-1", "seinajoki-2")
+        outside = [h for h in deployment.hosts if h not in inside]
+        for name in outside:
+            deployment.send_signal(name, signal.SIGSTOP)
+        await deployment.put_platform_faults(away=True)
+        await asyncio.sleep(1.0)
+        await self._check_inside(deployment, inside[0])
+        await deployment.kill_host(inside[1])
+        await asyncio.sleep(_HOME_TAKEOVER_S)
+        await self._check_inside(deployment, inside[0])
+        for name in outside:
+            deployment.send_signal(name, signal.SIGCONT)
+        await deployment.put_platform_faults(away=False)
+        await deployment.wait_until_ready(
+            (inside[0], *outside), search=self.search
+        )
+        await self.assert_never_overrun(deployment)
+
+    async def _check_inside(
+        self, deployment: _deployments.Deployment, host: str
+    ) -> None:
+        """Checks that the domain's own replicas answer, and only they."""
+        held: set[int] = set()
+        for domain, shape in deployment.shape.servers:
+            if domain == "seinajoki" and shape.name.startswith(self.search):
+                held.update(shape.holdings[0].indices)
+        missing = sorted(set(range(self.shards)) - held)
+        # The canary may meet a silent home first.
+        for attempt in range(3):
+            text = f"inside {host} {attempt}"
+            status, answer = await deployment.query(host, self.search, text)
+        self.assertEqual(status, 200, answer)
+        self.assert_answer(answer, text, missing)
+
+
+class CrashAndColdTest(HomeTest):
+    """A crashing request, a cold replacement and a resending caller."""
+
+    async def test_resends_meet_a_cold_replacement(self) -> None:
+        deployment = await self.start()
+        for _, shape in deployment.shape.servers:
+            await deployment.put_server(
+                shape.name, "/faults", {"crash_on": "poison"}
+            )
+        plan = self.plan(deployment, duration_ms=6_000.0)
+        load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
+        await asyncio.sleep(0.5)
+        for host in deployment.hosts:
+            await deployment.query(host, self.search, "poison pill")
+            await asyncio.sleep(0.3)
+        await deployment.kill_host("rovaniemi-2")
+        for host in ("kuopio-1", "seinajoki-1"):
+            await deployment.query(host, self.search, "poison pill")
+        result = await load
+        self.assert_right(result)
+        crashes = await _sessions.count_stats(deployment, "crashes")
+        self.assertLessEqual(crashes, 2)
+        await self.assert_never_overrun(deployment)
--- a/packages/policy/cowslipvalve_policy/_warmups.py
+++ b/packages/policy/cowslipvalve_policy/_warmups.py
@@ -19,9 +19,10 @@
         self._clock = clock
         self._warm_up = warm_up
         self._rate = warm_up.initial_rate
-        self._doubled_ms = clock.now_ms()
+        # The time of the last doubling, none before the first answer: a server
+        # warms up by working, not by waiting for work.
+        self._doubled_ms: float | None = None
         self._next_start_ms = clock.now_ms()
-        self._answers_since_doubling = 0
         self._average_ms = 0.0
         self._slow_answers = 0
 
@@ -54,7 +55,6 @@
 
     def add_answer(self, latency_ms: float) -> bool:
         """Counts a good answer; returns whether it sent the rate back."""
-        self._answers_since_doubling += 1
         if self._is_slow(latency_ms):
             self._slow_answers += 1
             if self._slow_answers >= _JUMP_ANSWERS:
@@ -70,9 +70,8 @@
         """Treats the server as cold."""
         now_ms = self._clock.now_ms()
         self._rate = self._warm_up.initial_rate
-        self._doubled_ms = now_ms
+        self._doubled_ms = None
         self._next_start_ms = now_ms + _MS_PER_SECOND / self._rate
-        self._answers_since_doubling = 0
         self._average_ms = 0.0
         self._slow_answers = 0
 
@@ -85,13 +84,14 @@
 
     def _grow(self) -> None:
         now_ms = self._clock.now_ms()
-        if self.is_warm or self._answers_since_doubling == 0:
+        if self._doubled_ms is None:
+            self._doubled_ms = now_ms
+        if self.is_warm:
             return
         if now_ms - self._doubled_ms < self._warm_up.doubling_ms:
             return
         self._rate *= 2
         self._doubled_ms = now_ms
-        self._answers_since_doubling = 0
         self._average_ms = 0.0
 
 
