--- /dev/null
+++ b/packages/cli/cowslipvalve_cli/tests/test_commands.py
@@ -0,0 +1,110 @@
+"""Tests of the client's commands against a platform."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+from typing import Any
+
+from cowslipvalve_cli import _main
+from cowslipvalve_standins import _platformtests
+
+
+def _domain(name: str, **metadata: Any) -> dict[str, Any]:
+    return {
+        "kind": "FailureDomain",
+        "metadata": {"name": name, **metadata},
+        "spec": {"region": "savo"},
+    }
+
+
+class CommandTest(_platformtests.PlatformTest):
+
+    async def run_client(self, *arguments: str) -> tuple[int, str, str]:
+        """Runs the client; returns its status, output and errors."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cowslipvalve_cli", *arguments,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        output, errors = await process.communicate()
+        return process.returncode or 0, output.decode(), errors.decode()
+
+    async def call(self, *arguments: str) -> tuple[int, str, str]:
+        """Runs the client on the test's platform."""
+        return await self.run_client(*arguments, "--platform", self.url)
+
+    def write(self, plain: Any) -> str:
+        """Returns the path of a file that holds the data."""
+        with tempfile.NamedTemporaryFile("w", delete=False) as file:
+            file.write(plain if isinstance(plain, str) else json.dumps(plain))
+        self.addCleanup(pathlib.Path(file.name).unlink)
+        return file.name
+
+    async def test_apply_get_and_delete(self) -> None:
+        path = self.write([_domain("kuopio"), _domain("lappi")])
+        status, output, errors = await self.call("apply", "-f", path)
+        self.assertEqual(status, 0, errors)
+        self.assertEqual(output.count("created"), 2)
+        _, output, _ = await self.call("apply", "-f", path)
+        self.assertEqual(output.count("unchanged"), 2)
+        _, output, _ = await self.call(
+            "get", "domain", "kuopio", "--output", "json"
+        )
+        self.assertEqual(json.loads(output)[0]["spec"], {"region": "savo"})
+        status, _, _ = await self.call("delete", "domain", "kuopio")
+        self.assertEqual(status, 0)
+        status, _, _ = await self.call("describe", "domain", "kuopio")
+        self.assertEqual(status, _main.EXIT_NOT_FOUND)
+
+    async def test_placement_keeps_other_fields_and_names_the_operator(
+        self,
+    ) -> None:
+        await self.call("apply", "-f", self.write(_domain("kuopio")))
+        status, output, _ = await self.call(
+            "domain", "out", "kuopio", "--operator", "aino"
+        )
+        self.assertEqual(status, 0)
+        self.assertIn("placement out, changed", output)
+        item = await self.client.get("FailureDomain", "kuopio")
+        self.assertEqual(item.spec, {"region": "savo", "placement": "out"})
+        self.assertEqual(item.metadata.operator, "aino")
+
+    async def test_change_of_another_operator_is_shown_not_overwritten(
+        self,
+    ) -> None:
+        await self.call("apply", "-f", self.write(_domain("kuopio")))
+        item = await self.client.get("FailureDomain", "kuopio")
+        version = item.metadata.resource_version
+        await self.call("domain", "out", "kuopio", "--operator", "aino")
+        path = self.write(_domain("kuopio", resourceVersion=version))
+        status, _, errors = await self.call("apply", "-f", path)
+        self.assertEqual(status, _main.EXIT_CONFLICT)
+        self.assertIn("aino", errors)
+        item = await self.client.get("FailureDomain", "kuopio")
+        self.assertEqual(item.spec["placement"], "out")
+
+    async def test_bad_files_are_refused_whole(self) -> None:
+        cases: tuple[tuple[Any, str], ...] = (
+            ("{", "not JSON"),
+            ([_domain("kuopio"), {"kind": "Cook"}], "item 1"),
+            ([_domain("kuopio"), _domain("No")], "metadata"),
+            ({**_domain("kuopio"), "spec": {"placement": "up"}}, "in, out"),
+        )
+        for plain, words in cases:
+            with self.subTest(plain=plain):
+                path = self.write(plain)
+                for command in ("validate", "apply"):
+                    arguments = [command, "-f", path]
+                    if command == "apply":
+                        arguments += ["--platform", self.url]
+                    status, _, errors = await self.run_client(*arguments)
+                    self.assertEqual(status, _main.EXIT_BAD_INPUT)
+                    self.assertIn(words, errors)
+        self.assertEqual((await self.client.list("FailureDomain")).items, ())
+
+    async def test_platform_that_is_away_has_its_own_status(self) -> None:
+        self.set_faults(away=True)
+        status, _, errors = await self.call("status")
+        self.assertEqual(status, _main.EXIT_PLATFORM_AWAY)
+        self.assertIn("did not answer", errors)
--- a/packages/daemon/cowslipvalve_daemon/_homes.py
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -147,8 +147,7 @@
         wanted = {
             name: server
             for name, server in self._configurations.current.servers.items()
-            if server.spec.failure_domain == self._failure_domain
-            and self._memberships.is_first_for(name)
+            if self._is_wanted(server)
         }
         for name, worker in list(self._workers.items()):
             server = wanted.get(name)
@@ -161,6 +160,12 @@
             if name not in self._workers:
                 await self._add(server)
 
+    def _is_wanted(self, server: model.BackendServer) -> bool:
+        """Whether this host ranks first for a server of its domain."""
+        if server.spec.failure_domain != self._failure_domain:
+            return False
+        return self._memberships.is_first_for(server.metadata.name)
+
     async def _add(self, server: model.BackendServer) -> None:
         worker = _serverworkers.create_server_worker(
             server,
--- /dev/null
+++ b/packages/model/cowslipvalve_model/tests/test_codec.py
@@ -0,0 +1,81 @@
+"""Tests of the checks of documents that people write."""
+
+import unittest
+from typing import Any
+
+import cowslipvalve_model as model
+
+_SERVER = {
+    "failureDomain": "kuopio",
+    "address": "10.0.0.1:9000",
+    "searches": ["price-lists"],
+}
+
+
+def _search(**spec: Any) -> dict[str, Any]:
+    return {"metadata": {"name": "price-lists"}, "spec": spec}
+
+
+def _server(**spec: Any) -> dict[str, Any]:
+    return {"metadata": {"name": "s-1"}, "spec": {**_SERVER, **spec}}
+
+
+class CheckPlainTest(unittest.TestCase):
+    # A document, its type, and what the message has to name.
+    bad: tuple[tuple[Any, type[Any], tuple[str, ...]], ...] = (
+        (_search(deadlineMs="5"), model.Search, ("int", "spec.deadlineMs")),
+        (_search(deadlineMs=0), model.Search, ("deadlineMs", ">= 1")),
+        (_search(minCoverage=7), model.Search, ("minCoverage", "<= 1")),
+        (_search(kind="cook"), model.Search, ("read, order", "spec.kind")),
+        (_search(hedge=1), model.Search, ("bool", "spec.hedge")),
+        (_search(patience=1), model.Search, ("unknown field patience",)),
+        ({"metadata": {"name": "A b"}}, model.Search, ("name", "metadata")),
+        ({"spec": {}}, model.Search, ("metadata is missing",)),
+        ([], model.Search, ("JSON object",)),
+        (_server(address="nowhere"), model.BackendServer, ("address",)),
+        (_server(searches=[]), model.BackendServer, ("searches",)),
+        (_server(searches="x"), model.BackendServer, ("list", "searches")),
+        (_server(slots=0), model.BackendServer, ("slots",)),
+        (
+            _server(warmUp={"initialRate": -1}),
+            model.BackendServer,
+            ("initialRate", "spec.warmUp"),
+        ),
+        ({"query": "elk"}, model.SearchRequest, ("query",)),
+        ({"query": {}, "items": [1]}, model.SearchRequest, ("items[0]",)),
+        ({"order": {}, "key": "k" * 201}, model.OrderRequest, ("key",)),
+    )
+
+    def test_bad_documents_name_the_field_and_the_reason(self) -> None:
+        for plain, kind, words in self.bad:
+            with self.subTest(plain=plain):
+                with self.assertRaises(model.InputError) as caught:
+                    model.check_plain(kind, plain)
+                for word in words:
+                    self.assertIn(word, str(caught.exception))
+
+    def test_good_documents_survive_a_round_trip(self) -> None:
+        for plain, kind in (
+            (_search(), model.Search),
+            (_server(), model.BackendServer),
+        ):
+            value = model.check_plain(kind, plain)
+            self.assertEqual(model.decode(kind, model.encode(value)), value)
+
+
+class DecodeTest(unittest.TestCase):
+
+    def test_messages_of_peers_are_refused_and_not_raised_raw(self) -> None:
+        texts = (b"", b"{", b"null", b"[]", b"{}", b'{"sender": {}}', b"\xff")
+        for text in texts:
+            for kind in (model.Heartbeat, model.QueryBatch, model.ServerReply):
+                with (
+                    self.subTest(text=text, kind=kind.__name__),
+                    self.assertRaises(model.InputError),
+                ):
+                    model.decode(kind, text)
+
+    def test_unknown_fields_of_newer_peers_are_ignored(self) -> None:
+        text = b'{"attemptIds": ["a"], "news": 1}'
+        message = model.decode(model.CancelRequest, text)
+        self.assertEqual(message.attempt_ids, ("a",))
--- /dev/null
+++ b/packages/platform/cowslipvalve_platform/tests/test_configurations.py
@@ -0,0 +1,99 @@
+"""Tests of the accepted configuration in the platform."""
+
+import asyncio
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_standins import _platformtests
+
+
+def _create(number: int, servers: int = 1) -> model.Configuration:
+    spec = model.BackendServerSpec(
+        failure_domain="kuopio", address="10.0.0.1:9000", searches=("s",)
+    )
+    return model.Configuration(
+        number=number,
+        servers={
+            f"server-{index}": model.BackendServer(
+                metadata=model.Metadata(name=f"server-{index}"), spec=spec
+            )
+            for index in range(servers)
+        },
+    )
+
+
+def _change(number: int) -> tuple[model.ConfigurationChange, ...]:
+    return (
+        model.ConfigurationChange(
+            number=number,
+            kind="Search",
+            name="s",
+            operator="aino",
+            before="",
+            after="{}",
+            accepted_ms=1,
+        ),
+    )
+
+
+class ConfigurationStoreTest(_platformtests.PlatformTest):
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store = platform.create_configuration_store(self.client)
+
+    async def commit(self, number: int, servers: int = 1) -> None:
+        await self.store.commit(
+            await self.store.load(), _create(number, servers), _change(number)
+        )
+
+    async def test_none_is_number_zero(self) -> None:
+        self.assertEqual((await self.store.load()).configuration.number, 0)
+
+    async def test_configuration_over_a_megabyte_is_kept_in_parts(
+        self,
+    ) -> None:
+        await self.commit(1, servers=5_600)
+        stored = await self.store.load()
+        self.assertEqual(stored.configuration, _create(1, 5_600))
+        self.assertGreater(len(stored.head.parts), 1)
+        await self.commit(2)
+        parts = await self.client.list(platform.PART_KIND)
+        self.assertEqual(len(parts.items), 1)
+
+    async def test_one_of_racing_commits_wins(self) -> None:
+        await self.commit(1)
+        old = await self.store.load()
+        results = await asyncio.gather(
+            *(self.store.commit(old, _create(2), _change(2)) for _ in range(6)),
+            return_exceptions=True,
+        )
+        lost = [r for r in results if isinstance(r, model.ConflictError)]
+        self.assertEqual(len(lost), 5)
+        self.assertEqual((await self.store.load()).configuration.number, 2)
+
+    async def test_lost_answer_of_the_head_is_recognized(self) -> None:
+        await self.commit(1)
+        old = await self.store.load()
+        real_update = self.client.update
+
+        async def update(item: platform.StoredObject) -> platform.StoredObject:
+            await real_update(item)
+            raise model.PlatformUnavailableError("the answer was lost")
+
+        self.client.update = update  # type: ignore[method-assign]
+        stored = await self.store.commit(old, _create(2), _change(2))
+        self.assertEqual(stored.configuration.number, 2)
+
+    async def test_left_out_audit_records_are_written_once(self) -> None:
+        await self.commit(1)
+        listed = await self.client.list(platform.AUDIT_KIND)
+        await self.client.delete(
+            platform.AUDIT_KIND, listed.items[0].metadata.name
+        )
+        head = (await self.store.load()).head
+        for _ in range(2):
+            await self.store.complete_audit(head)
+        listed = await self.client.list(platform.AUDIT_KIND)
+        self.assertEqual(len(listed.items), 1)
+        self.assertEqual(listed.items[0].spec["operator"], "aino")
--- /dev/null
+++ b/packages/policy/cowslipvalve_policy/tests/test_fingerprints.py
@@ -0,0 +1,57 @@
+"""Tests of what is known of request bodies."""
+
+import unittest
+
+import cowslipvalve_policy as policy
+
+
+class CrashRecordTest(unittest.TestCase):
+    # Losses as server and whether the body ran alone; whether that proves it.
+    cases: tuple[tuple[str, tuple[tuple[str, bool], ...], bool], ...] = (
+        ("one loss alone", (("a", True),), False),
+        ("neighbours twice", (("a", False), ("b", False)), False),
+        ("then alone", (("a", False), ("b", True)), True),
+        ("alone first", (("a", True), ("b", False)), True),
+        ("the same server", (("a", True), ("a", True)), False),
+    )
+
+    def test_proof(self) -> None:
+        for name, losses, proven in self.cases:
+            with self.subTest(name):
+                record = policy.create_crash_record()
+                for server, alone in losses:
+                    strikes = record.add("body", server, alone)
+                self.assertEqual(strikes.is_proven, proven)
+
+    def test_answer_clears_a_suspect(self) -> None:
+        record = policy.create_crash_record()
+        record.add("body", "a", False)
+        record.clear("body")
+        self.assertFalse(record.add("body", "b", True).is_proven)
+
+
+class FingerprintTest(unittest.TestCase):
+
+    def test_order_of_keys_does_not_matter(self) -> None:
+        one = policy.compute_fingerprint("s", {"a": 1, "b": 2})
+        other = policy.compute_fingerprint("s", {"b": 2, "a": 1})
+        self.assertEqual(one, other)
+        self.assertNotEqual(one, policy.compute_fingerprint("t", {"a": 1}))
+
+    def test_known_bodies_forget_the_oldest(self) -> None:
+        known = policy.create_known_bodies(2)
+        for name in ("a", "b", "a", "c"):
+            known.add(name)
+        self.assertTrue("a" in known)
+        self.assertFalse("b" in known)
+
+
+class RendezvousTest(unittest.TestCase):
+
+    def test_removal_moves_only_the_keys_of_the_removed(self) -> None:
+        names = [f"host-{number}" for number in range(8)]
+        for key in (f"server-{number}" for number in range(100)):
+            first, second, *_ = policy.rank_names(names, key)
+            others = [name for name in names if name != first]
+            self.assertEqual(policy.choose_name(names, key), first)
+            self.assertEqual(policy.choose_name(others, key), second)
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -276,18 +276,9 @@
                 log=self.log_path("platform"),
             )
         )
-        shapes = [model.to_plain(shape) for _, shape in self.shape.servers]
-        path = self.directory / "servers.json"
-        path.write_bytes(orjson.dumps(shapes))
-        self._processes.append(
-            await self._start(
-                "cowslipvalve_standins.servers",
-                str(path),
-                log=self.log_path("servers"),
-            )
-        )
+        for domain in sorted({name for name, _ in self.shape.servers}):
+            await self._start_servers(domain)
         await self._wait_for_port(self.platform_port)
-        await self._wait_for_port(int(self._last_server_port()))
         listed = [
             {
                 "name": h.shape.name,
@@ -300,8 +291,20 @@
             "PUT", f"{_LOCAL}:{self.platform_port}", "/hosts", listed
         )
 
-    def _last_server_port(self) -> str:
-        return self.shape.servers[-1][1].address.rpartition(":")[2]
+    async def _start_servers(self, domain: str) -> None:
+        """Starts one process for the servers of a failure domain."""
+        shapes = [shape for name, shape in self.shape.servers if name == domain]
+        path = self.directory / f"servers-{domain}.json"
+        path.write_bytes(orjson.dumps([model.to_plain(s) for s in shapes]))
+        self._processes.append(
+            await self._start(
+                "cowslipvalve_standins.servers",
+                str(path),
+                log=self.log_path(f"servers-{domain}"),
+            )
+        )
+        port = shapes[-1].address.rpartition(":")[2]
+        await self._wait_for_port(int(port))
 
     async def _wait_for_port(self, port: int) -> None:
         for _ in range(_READY_TIMEOUT_MS // _POLL_MS):
--- a/standins/cowslipvalve_standins/ablated.py
+++ b/standins/cowslipvalve_standins/ablated.py
@@ -8,12 +8,17 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 import cowslipvalve_backend._client as backend_client
 import cowslipvalve_daemon._configurations as daemon_configurations
 import cowslipvalve_daemon._daemon as daemon_daemon
 import cowslipvalve_daemon._heartbeats as daemon_heartbeats
+import cowslipvalve_daemon._homes as daemon_homes
+import cowslipvalve_daemon._memberships as daemon_memberships
 import cowslipvalve_daemon._orders as daemon_orders
 import cowslipvalve_daemon._quarantines as daemon_quarantines
+import cowslipvalve_daemon._replicas as daemon_replicas
 import cowslipvalve_daemon._searchruns as daemon_searchruns
 import cowslipvalve_daemon._serverworkers as daemon_serverworkers
 import cowslipvalve_model as model
@@ -22,6 +27,8 @@
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _main
 
+_SLOTS_TO_DIVIDE = 2  # The slots of a server, each given to one host.
+
 
 def _return(value: Any) -> Callable[..., Any]:
     return lambda *_arguments, **_keywords: value
@@ -153,6 +160,78 @@
     run._hedge = hedge
 
 
+def _serve_alone(slots_of: Callable[[Any, str], int]) -> None:
+    """Makes each host send to the servers itself, without homes.
+
+    Args:
+      slots_of: Returns how many slots of a server a host may use.
+    """
+    _skip_lease()
+    memberships: Any = daemon_memberships.Memberships
+    memberships.is_first_for = lambda self, name: slots_of(self, name) > 0
+    homes: Any = daemon_homes.HomeService
+    homes._is_wanted = lambda self, server: self._memberships.is_first_for(
+        server.metadata.name
+    )
+    old_add = homes._add
+
+    async def add(self: Any, server: model.BackendServer) -> None:
+        slots = slots_of(self._memberships, server.metadata.name)
+        slots = min(slots, server.spec.slots)
+        await old_add(
+            self,
+            attrs.evolve(server, spec=attrs.evolve(server.spec, slots=slots)),
+        )
+
+    homes._add = add
+    directory: Any = daemon_replicas.ReplicaDirectory
+    directory._is_usable = lambda self, record: True
+    old_choose = directory.choose
+
+    def choose(self: Any, servers: Any, excluded: Any) -> Any:
+        own = [name for name in servers if slots_of(self.memberships, name)]
+        replica = old_choose(self, own, excluded)
+        if replica is None:
+            return None
+        return attrs.evolve(replica, home=self.memberships.host)
+
+    directory.choose = choose
+    old_create = daemon_replicas.create_replica_directory
+    module: Any = daemon_replicas
+
+    def create(settings: Any, table: Any, *arguments: Any) -> Any:
+        created: Any = old_create(settings, table, *arguments)
+        created.memberships = _OwnView(settings.host, table)
+        return created
+
+    module.create_replica_directory = create
+
+
+class _OwnView:
+    """What the baselines need to know of the other hosts."""
+
+    def __init__(self, host: str, table: peers.RecordTable) -> None:
+        self.host = host
+        self._table = table
+
+
+def _use_whole_limits() -> None:
+    _serve_alone(lambda _view, _name: 1_000)
+
+
+def _use_divided_limits() -> None:
+    def slots_of(view: Any, name: str) -> int:
+        hosts = sorted(
+            entry.host.host
+            for entry in view._table.entries("host")
+            if entry.host is not None
+        )
+        ranked = policy.rank_names(hosts, name)
+        return int(view.host in ranked[:_SLOTS_TO_DIVIDE])
+
+    _serve_alone(slots_of)
+
+
 ABLATIONS: dict[str, Callable[[], None]] = {
     "lease": _skip_lease,
     "warm-up": _skip_warm_up,
@@ -168,6 +247,8 @@
     "draining-servers": _skip_draining_servers,
     "number-check": _skip_number_check,
     "hedges": _skip_hedges,
+    "whole-limits": _use_whole_limits,
+    "divided-limits": _use_divided_limits,
 }
 
 
--- /dev/null
+++ b/standins/cowslipvalve_standins/measure.py
@@ -0,0 +1,203 @@
+"""Measures the policy beside simpler ones.
+
+python -m cowslipvalve_standins.measure [SITE [SCENARIO [POLICY]]] prints one
+row for each run, as a Markdown table.
+"""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+
+import attrs
+
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _loads
+from cowslipvalve_standins import _sessions
+from cowslipvalve_standins import _shapes
+from cowslipvalve_standins import _placements
+
+_SHARDS = 10
+_HOSTS = 8
+_RATE = 40.0
+_CALM_MS = 6_000.0
+_FAULT_MS = 10_000.0
+_STRAGGLE_MS = 200.0
+_SEED = 7
+_WARM_UP_MS = 4_000.0
+
+_Fault = Callable[[_deployments.Deployment, _shapes.SiteShape], Awaitable[None]]
+
+
+@attrs.frozen
+class _Row:
+    """What one run has shown."""
+
+    site: str
+    scenario: str
+    policy: str
+    sent: int
+    p50_ms: float
+    p99_ms: float
+    coverage: float
+    whole: float
+    failed: int
+    not_run: int
+    extra_load: float
+    connections: int
+    overruns: int
+    collapses: int
+    wrong: int
+
+
+async def _stay_calm(
+    _deployment: _deployments.Deployment, _site: _shapes.SiteShape
+) -> None:
+    return
+
+
+async def _slow_one_server(
+    deployment: _deployments.Deployment, site: _shapes.SiteShape
+) -> None:
+    name = f"{site.searches[0].name}-0-a"
+    await deployment.put_server(name, "/faults", {"straggle_ms": _STRAGGLE_MS})
+
+
+async def _restart_servers(
+    deployment: _deployments.Deployment, site: _shapes.SiteShape
+) -> None:
+    await asyncio.sleep(1.0)
+    for index in range(0, _SHARDS, 2):
+        name = f"{site.searches[0].name}-{index}-a"
+        await deployment.post_server(name, "/crash")
+
+
+async def _move_domain(
+    deployment: _deployments.Deployment, site: _shapes.SiteShape
+) -> None:
+    name = site.domains[-1][0]
+    await asyncio.sleep(1.0)
+    await _placements.write_placement(deployment, "FailureDomain", name, "out")
+    await asyncio.sleep(4.0)
+    await _placements.write_placement(deployment, "FailureDomain", name, "in")
+
+
+_SCENARIOS: dict[str, tuple[_Fault, float]] = {
+    "calm": (_stay_calm, _CALM_MS),
+    "straggler": (_slow_one_server, _CALM_MS),
+    "cold": (_restart_servers, _FAULT_MS),
+    "domain": (_move_domain, _FAULT_MS),
+}
+_POLICIES = {
+    "homes": "",
+    "no hedging": "hedges",
+    "divided limits": "divided-limits",
+    "whole limits": "whole-limits",
+}
+
+
+def _create_site(name: str) -> _shapes.SiteShape:
+    if name == "haapaniemi":
+        return _shapes.create_haapaniemi(_SHARDS, _HOSTS)
+    return _shapes.create_kestrelford(_SHARDS, _HOSTS)
+
+
+async def _measure(site_name: str, scenario: str, policy: str) -> _Row:
+    site = _create_site(site_name)
+    search = site.searches[0].name
+    fault, duration_ms = _SCENARIOS[scenario]
+    shape = _shapes.create_deployment_shape(site)
+    async with _deployments.Deployment(shape, _POLICIES[policy]) as deployment:
+        await deployment.wait_until_ready()
+        hosts = tuple(
+            name for name in deployment.hosts if site.domains[-1][0] not in name
+        )
+        plan = _loads.LoadPlan(
+            search=search,
+            hosts=hosts,
+            counts={_shapes.FIRST_SNAPSHOT: _SHARDS},
+            rate=_RATE,
+            duration_ms=_WARM_UP_MS,
+            seed=_SEED,
+        )
+        await _loads.run_load(deployment, plan)
+        before = await _read_stats(deployment)
+        fault_task = asyncio.ensure_future(fault(deployment, site))
+        result = await _loads.run_load(
+            deployment, attrs.evolve(plan, duration_ms=duration_ms)
+        )
+        await fault_task
+        after = await _read_stats(deployment)
+    return _summarize(site_name, scenario, policy, result, before, after)
+
+
+async def _read_stats(
+    deployment: _deployments.Deployment,
+) -> dict[str, int]:
+    fields = ("queries", "shed", "connections", "overruns", "collapses")
+    return {
+        field: await _sessions.count_stats(deployment, field)
+        for field in fields
+    }
+
+
+def _summarize(
+    site: str,
+    scenario: str,
+    policy: str,
+    result: _loads.LoadResult,
+    before: dict[str, int],
+    after: dict[str, int],
+) -> _Row:
+    done = {field: after[field] - before[field] for field in after}
+    needed = result.sent * _SHARDS
+    not_run = sum(n for key, n in result.failures.items() if "not_run" in key)
+    return _Row(
+        site=site,
+        scenario=scenario,
+        policy=policy,
+        sent=result.sent,
+        p50_ms=round(result.percentile_ms(50), 1),
+        p99_ms=round(result.percentile_ms(99), 1),
+        coverage=round(result.mean_coverage, 4),
+        whole=round(result.whole / result.sent, 4),
+        failed=sum(result.failures.values()),
+        not_run=not_run,
+        extra_load=round((done["queries"] + done["shed"]) / needed - 1, 4),
+        connections=done["connections"],
+        overruns=done["overruns"],
+        collapses=done["collapses"],
+        wrong=len(result.wrong),
+    )
+
+
+def _print_head() -> None:
+    names = [field.name for field in attrs.fields(_Row)]
+    print("| " + " | ".join(names) + " |")
+    print("|" + "---|" * len(names), flush=True)
+
+
+def _choose_runs(wanted: list[str]) -> Iterator[tuple[str, str, str]]:
+    wanted = [*wanted, "", "", ""][:3]
+    for site in ("haapaniemi", "kestrelford"):
+        for scenario in _SCENARIOS:
+            for policy in _POLICIES:
+                run = (site, scenario, policy)
+                if all(a in ("", b) for a, b in zip(wanted, run, strict=True)):
+                    yield run
+
+
+def main() -> None:
+    """Measures the wanted runs one after another."""
+    _print_head()
+    for run in _choose_runs(sys.argv[1:]):
+        try:
+            row = asyncio.run(_measure(*run))
+        except TimeoutError:
+            print(f"| {' | '.join(run)} | did not get ready |", flush=True)
+            continue
+        values = [str(value) for value in attrs.astuple(row)]
+        print("| " + " | ".join(values) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/cowslipvalve_standins/slopes.py
@@ -0,0 +1,525 @@
+"""Measures how costs grow: python -m cowslipvalve_standins.slopes [NAME].
+
+Each measurement has at least four points and is fitted by a straight line; the
+residual is the largest distance of a point from it, as a share of the line.
+"""
+
+import asyncio
+import functools
+import os
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+import cowslipvalve_platform as platform
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _compilers
+from cowslipvalve_daemon import _partials
+from cowslipvalve_standins import _clocks
+from cowslipvalve_standins import _data
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _loads
+from cowslipvalve_standins import _shapes
+
+_US_PER_S = 1_000_000
+_MIN_TIME_S = 0.2
+_HITS = 10
+_IDLE_S = 8.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+Points = Sequence[tuple[float, float]]
+
+
+@attrs.frozen
+class _Line:
+    """A fitted line and how far the points are from it."""
+
+    intercept: float
+    slope: float
+    residual: float
+
+
+def _fit(points: Points) -> _Line:
+    sizes = [size for size, _ in points]
+    costs = [cost for _, cost in points]
+    slope, intercept = statistics.linear_regression(sizes, costs)
+    fitted = [intercept + slope * size for size in sizes]
+    residual = max(
+        abs(cost - line) / max(abs(line), 1e-9)
+        for cost, line in zip(costs, fitted, strict=True)
+    )
+    return _Line(intercept, slope, residual)
+
+
+def _report(name: str, unit: str, per: str, points: Points) -> None:
+    line = _fit(points)
+    shown = ", ".join(f"{size:g}: {cost:.4g}" for size, cost in points)
+    print(
+        f"| {name} | {shown} | {line.intercept:.4g} {unit} +"
+        f" {line.slope:.4g} {unit} per {per} | {line.residual:.0%} |",
+        flush=True,
+    )
+
+
+def _time_us(work: Callable[[], object]) -> float:
+    """Returns the processor time of one call."""
+    work()
+    count = 0
+    start = time.process_time()
+    while time.process_time() - start < _MIN_TIME_S:
+        work()
+        count += 1
+    return (time.process_time() - start) / count * _US_PER_S
+
+
+def _create_table(hosts: int, servers: int) -> peers.RecordTable:
+    table = peers.create_record_table()
+    for number in range(hosts):
+        record = model.HostRecord(
+            host=f"host-{number}",
+            incarnation=1,
+            failure_domain=f"domain-{number % 6}",
+            region="region",
+            address=f"10.0.0.1:{number}",
+            state=model.HostState.LIVE,
+        )
+        table.write(model.Entry(1, host=record))
+    for number in range(servers):
+        snapshot = model.Snapshot("search", 1, 360)
+        server = model.ServerRecord(
+            server=f"server-{number}",
+            home=f"host-{number % max(1, hosts)}",
+            incarnation=1,
+            condition=model.ServerCondition.SERVING,
+            holdings=(model.Holding(snapshot, (number % 360,)),),
+        )
+        table.write(model.Entry(1, server=server))
+    return table
+
+
+def _create_heartbeat(cell: int) -> model.Heartbeat:
+    names = [f"host-{number}" for number in range(cell)]
+    seen = {name: (1_700_000_000_000, 1_000) for name in names}
+    beats = tuple(
+        model.Beat(
+            name, 1_700_000_000_000, 1_000, 7, model.HostState.LIVE, seen
+        )
+        for name in names
+    )
+    return model.Heartbeat(
+        sender="host-0", incarnation=1_700_000_000_000, number=3, beats=beats
+    )
+
+
+def measure_heartbeat() -> None:
+    """Measures a heartbeat by the number of hosts that share leases."""
+    costs, sizes = [], []
+    for cell in (2, 4, 8, 16, 32):
+        message = _create_heartbeat(cell)
+        text = model.encode(message)
+        keeper = peers.create_lease_keeper(
+            _clocks.create_manual_clock(),
+            peers.LeaseTimes(heartbeat_ms=250, dead_ms=900, lease_ms=1_500),
+            "me",
+            1,
+        )
+
+        def work(
+            message: model.Heartbeat = message,
+            text: bytes = text,
+            keeper: peers.LeaseKeeper = keeper,
+        ) -> None:
+            model.encode(message)
+            keeper.merge(model.decode(model.Heartbeat, text).beats)
+
+        costs.append((float(cell), _time_us(work)))
+        sizes.append((float(cell), float(len(text))))
+    _report("heartbeat: encode, decode, merge", "us", "host in the cell", costs)
+    _report("heartbeat: size", "B", "host in the cell", sizes)
+
+
+def measure_table() -> None:
+    """Measures the shared table by the number of records."""
+    memory, quiet, full = [], [], []
+    for servers in (500, 1_000, 2_000, 5_600):
+        tracemalloc.start()
+        table = _create_table(servers // 6, servers)
+        memory.append(
+            (float(servers), tracemalloc.get_traced_memory()[0] / 1e3)
+        )
+        tracemalloc.stop()
+        change = table.change
+        quiet.append(
+            (
+                float(servers),
+                _time_us(
+                    functools.partial(table.collect_changes, change, "x", 500)
+                ),
+            )
+        )
+        full.append(
+            (
+                float(servers),
+                _time_us(
+                    functools.partial(
+                        table.collect_changes, change - 1, "x", 500
+                    )
+                ),
+            )
+        )
+    _report("table: memory", "kB", "server", memory)
+    _report("table: nothing new", "us", "server", quiet)
+    _report("table: one new record", "us", "server", full)
+
+
+def _create_query(targets: int, number: int = 1) -> model.HomeQuery:
+    return model.HomeQuery(
+        query_id=str(number),
+        request_id="host-1-18ee0127800c9b59",
+        snapshot=model.Snapshot("search", 1, 360),
+        fingerprint="0b5014971f46aa46bc4d2d6e68282430",
+        body={"text": "elk from the north", "page": 1},
+        remaining_ms=100.0,
+        top_hits=_HITS,
+        targets=tuple(
+            model.Target(f"server-{index}", (index,))
+            for index in range(targets)
+        ),
+        trusted=True,
+    )
+
+
+def _create_partial(shards: int, number: int = 1) -> model.PartialAnswer:
+    snapshot = model.Snapshot("search", 1, 360)
+    hits = [
+        hit
+        for index in range(shards)
+        for hit in _data.find_hits(snapshot, index, "elk", _HITS)
+    ]
+    results = tuple(
+        model.ShardResult(
+            index, f"server-{index}", model.Outcome.ANSWERED, total=20
+        )
+        for index in range(shards)
+    )
+    return model.PartialAnswer(
+        str(number), snapshot, results, _partials.merge_hits(hits, _HITS)
+    )
+
+
+def measure_entry_leg() -> None:
+    """Measures the messages between entry and home by the batch size."""
+    for shards in (1, 6, 24):
+        points = []
+        for batch in (1, 10, 50, 100):
+            queries = model.QueryBatch(
+                "host-1", tuple(_create_query(shards, n) for n in range(batch))
+            )
+            partials = model.PartialBatch(
+                tuple(_create_partial(shards, n) for n in range(batch))
+            )
+
+            def work(
+                queries: model.QueryBatch = queries,
+                partials: model.PartialBatch = partials,
+            ) -> None:
+                model.decode(model.QueryBatch, model.encode(queries))
+                got = model.decode(model.PartialBatch, model.encode(partials))
+                for partial in got.partials:
+                    _partials.merge_hits(partial.hits, _HITS)
+
+            points.append((float(batch), _time_us(work)))
+        _report(
+            f"entry leg, both ends, {shards} shards a query",
+            "us",
+            "query in the batch",
+            points,
+        )
+
+
+def measure_server_leg() -> None:
+    """Measures the home's end of the messages to a server."""
+    points = []
+    snapshot = model.Snapshot("search", 1, 360)
+    hits = _data.find_hits(snapshot, 1, "elk", _HITS)
+    for batch in (1, 4, 16, 32):
+        queries = tuple(
+            model.ShardQuery(
+                "r", f"a{n}", snapshot, 1, {"text": "elk"}, 90.0, 10
+            )
+            for n in range(batch)
+        )
+        answers = tuple(
+            model.ShardAnswer(
+                "r", f"a{n}", snapshot, 1, model.Outcome.ANSWERED,
+                total=20, hit_count=len(hits), hits=hits,
+            )
+            for n in range(batch)
+        )  # fmt: skip
+        text = model.encode(model.ServerReply("boot", answers))
+
+        def work(
+            queries: tuple[model.ShardQuery, ...] = queries, text: bytes = text
+        ) -> None:
+            model.encode(model.ServerBatch(queries))
+            model.decode(model.ServerReply, text)
+
+        points.append((float(batch), _time_us(work)))
+    _report("server leg, home's end", "us", "shard query in the batch", points)
+
+
+def measure_exchange() -> None:
+    """Measures an HTTP exchange and a WebSocket message by their size."""
+    asyncio.run(_measure_exchanges())
+
+
+async def _measure_exchanges() -> None:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(body=await request.read())
+
+    async def echo(request: web.Request) -> web.WebSocketResponse:
+        socket = web.WebSocketResponse(compress=False)
+        await socket.prepare(request)
+        async for message in socket:
+            await socket.send_bytes(message.data)
+        return socket
+
+    app = web.Application(client_max_size=1 << 24)
+    app.router.add_post("/", answer)
+    app.router.add_get("/ws", echo)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    port = _deployments.choose_ports(1)[0]
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    url = f"http://127.0.0.1:{port}"
+    async with aiohttp.ClientSession() as session:
+
+        async def post(body: bytes) -> None:
+            async with session.post(url + "/", data=body) as response:
+                await response.read()
+
+        await _time_messages("HTTP exchange, both ends", post)
+        async with session.ws_connect(url + "/ws", compress=0) as socket:
+
+            async def send(body: bytes) -> None:
+                await socket.send_bytes(body)
+                await socket.receive_bytes()
+
+            await _time_messages("WebSocket message and answer", send)
+    await runner.cleanup()
+
+
+async def _time_messages(
+    name: str, send: Callable[[bytes], Awaitable[None]]
+) -> None:
+    points = []
+    for size in (200, 2_000, 20_000, 100_000):
+        body = b"x" * size
+        await send(body)
+        start = time.process_time()
+        for _ in range(300):
+            await send(body)
+        took = (time.process_time() - start) / 300 * _US_PER_S
+        points.append((size / 1e3, took))
+    _report(name, "us", "kB", points)
+
+
+def measure_configuration() -> None:
+    """Measures a configuration by the number of its servers."""
+    sizes, whole, change, memory = [], [], [], []
+    for servers in (500, 1_000, 2_000, 5_600):
+        tracemalloc.start()
+        old = _create_configuration(servers)
+        memory.append(
+            (float(servers), tracemalloc.get_traced_memory()[0] / 1e3)
+        )
+        tracemalloc.stop()
+        delta = model.complete_delta(old)
+        text = model.encode(delta)
+        sizes.append((float(servers), len(text) / 1e3))
+        whole.append(
+            (
+                float(servers),
+                _time_us(
+                    functools.partial(
+                        model.decode, model.ConfigurationDelta, text
+                    )
+                ),
+            )
+        )
+        new = attrs.evolve(old, number=2, searches={})
+        change.append(
+            (
+                float(servers),
+                _time_us(functools.partial(model.compute_delta, old, new)),
+            )
+        )
+    _report("configuration: size", "kB", "server", sizes)
+    _report("configuration: memory", "kB", "server", memory)
+    _report("configuration: decode the whole", "us", "server", whole)
+    _report("configuration: compute a change", "us", "server", change)
+
+
+def _create_configuration(servers: int) -> model.Configuration:
+    items = [
+        _compilers.check_resource(item)
+        for item in _create_server_objects(servers)
+    ]
+    return model.Configuration(
+        number=1,
+        servers={
+            item.metadata.name: item
+            for item in items
+            if isinstance(item, model.BackendServer)
+        },
+        searches={
+            "search": model.Search(metadata=model.Metadata(name="search"))
+        },
+    )
+
+
+def _create_server_objects(
+    servers: int,
+) -> Iterable[platform.StoredObject]:
+    for number in range(servers):
+        yield platform.create_object(
+            "BackendServer",
+            f"server-{number}",
+            {
+                "failureDomain": f"domain-{number % 6}",
+                "address": f"10.0.0.1:{number}",
+                "searches": ["search"],
+            },
+        )
+
+
+def measure_plan() -> None:
+    """Measures the choice of snapshot and servers by the shards of a query."""
+    points = []
+    for shards in (20, 90, 180, 360):
+        table = _create_table(100, shards * 2)
+        records = [
+            entry.server
+            for entry in table.entries("server")
+            if entry.server is not None
+        ]
+        points.append(
+            (
+                float(shards),
+                _time_us(
+                    functools.partial(
+                        policy.collect_snapshots, "search", records
+                    )
+                ),
+            )
+        )
+    _report("plan: snapshots from records, per change", "us", "shard", points)
+
+
+def _read_process(pid: int) -> tuple[float, float]:
+    """Returns the processor time in s and the memory in MB of a process."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    seconds = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    return seconds, pages * _PAGE_BYTES / 1e6
+
+
+def _read_hosts(deployment: _deployments.Deployment) -> tuple[float, float]:
+    """Returns the mean processor time and memory of all hosts."""
+    values = [
+        _read_process(host.process.pid)
+        for host in deployment.hosts.values()
+        if host.process is not None
+    ]
+    seconds = statistics.mean(value[0] for value in values)
+    return seconds, statistics.mean(value[1] for value in values)
+
+
+def measure_idle() -> None:
+    """Measures idle hosts by the number of hosts of a domain."""
+    points = []
+    for hosts in (3, 6, 12, 24):
+        points.append((hosts / 3, asyncio.run(_measure_idle(hosts))))
+    _report("idle host, processor", "% of a core", "host of its domain", points)
+
+
+async def _measure_idle(hosts: int) -> float:
+    site = _shapes.create_haapaniemi(shards=2, hosts=hosts)
+    shape = _shapes.create_deployment_shape(site)
+    async with _deployments.Deployment(shape) as deployment:
+        await deployment.wait_until_ready()
+        before, _ = _read_hosts(deployment)
+        await asyncio.sleep(_IDLE_S)
+        after, _ = _read_hosts(deployment)
+    return (after - before) / _IDLE_S * 100
+
+
+def measure_load() -> None:
+    """Measures hosts under load by the shards of a query and by the rate."""
+    by_shards = []
+    for shards in (2, 4, 8, 16):
+        by_shards.append(
+            (float(shards), asyncio.run(_measure_load(shards, 60.0)))
+        )
+    _report("query, all hosts together", "ms", "shard", by_shards)
+    by_rate = []
+    for rate in (20.0, 40.0, 80.0, 120.0):
+        cost = asyncio.run(_measure_load(8, rate))
+        by_rate.append((rate, cost * rate / 10))
+    _report("load of 8 shards, all hosts", "% of a core", "query/s", by_rate)
+
+
+async def _measure_load(shards: int, rate: float) -> float:
+    """Returns the processor time of a query in all hosts, in ms."""
+    site = _shapes.create_haapaniemi(shards=shards, hosts=6)
+    shape = _shapes.create_deployment_shape(site)
+    async with _deployments.Deployment(shape) as deployment:
+        await deployment.wait_until_ready(search="price-lists")
+        plan = _loads.LoadPlan(
+            search="price-lists",
+            hosts=tuple(deployment.hosts),
+            counts={_shapes.FIRST_SNAPSHOT: shards},
+            rate=rate,
+            duration_ms=4_000.0,
+        )
+        await _loads.run_load(deployment, plan)
+        before, _ = _read_hosts(deployment)
+        result = await _loads.run_load(deployment, plan)
+        after, _ = _read_hosts(deployment)
+    return (after - before) * len(deployment.hosts) / result.sent * 1e3
+
+
+_MEASUREMENTS: dict[str, Callable[[], None]] = {
+    "heartbeat": measure_heartbeat,
+    "table": measure_table,
+    "entry-leg": measure_entry_leg,
+    "server-leg": measure_server_leg,
+    "exchange": measure_exchange,
+    "configuration": measure_configuration,
+    "plan": measure_plan,
+    "idle": measure_idle,
+    "load": measure_load,
+}
+
+
+def main() -> None:
+    """Measures the named slope, or all."""
+    print("| what | points | fit | residual |\n|---|---|---|---|", flush=True)
+    for name, measure in _MEASUREMENTS.items():
+        if len(sys.argv) == 1 or name in sys.argv[1:]:
+            measure()
+
+
+if __name__ == "__main__":
+    main()
