Let stand-in servers keep deadlines and cancel; split large modules

Reading the workers showed more: a worker whose resource changed never ended under constant load, latencies of zero for orders and new connections pulled the average down, and the metric of the accepted number was never set. Change: the home waits 100 ms past the deadline for the server's own stop; the stand-in stops at deadlines and cancels; workers retire; answers without meaning for warmth carry no latency; server health, order dispatch and run states have modules of their own.

--- a/packages/daemon/cowslipvalve_daemon/_configurations.py
+++ b/packages/daemon/cowslipvalve_daemon/_configurations.py
@@ -9,6 +9,7 @@
 
 import cowslipvalve_model as model
 from cowslipvalve_daemon import _logs
+from cowslipvalve_daemon import _metrics
 import cowslipvalve_peers as peers
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,8 +23,11 @@
     configuration that holds them is accepted.
     """
 
-    def __init__(self, table: peers.RecordTable) -> None:
+    def __init__(
+        self, table: peers.RecordTable, metrics: _metrics.Metrics
+    ) -> None:
         self._table = table
+        self._metrics = metrics
         self.current = model.Configuration()
         self._deltas: collections.deque[model.ConfigurationDelta] = (
             collections.deque(maxlen=_KEPT_DELTAS)
@@ -41,6 +45,7 @@
         if new.number == old.number:
             return False
         self.current = new
+        self._metrics.accepted_number.add(new.number - old.number)
         if old.number:
             self._deltas.append(model.compute_delta(old, new))
         _logs.log_event(
@@ -118,10 +123,10 @@
 
 
 def create_configuration_holder(
-    table: peers.RecordTable,
+    table: peers.RecordTable, metrics: _metrics.Metrics
 ) -> ConfigurationHolder:
     """Returns a holder without a configuration."""
-    return ConfigurationHolder(table)
+    return ConfigurationHolder(table, metrics)
 
 
 def accept_resource(resource: model.Resource, number: int) -> model.Resource:
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -174,7 +174,7 @@
     memberships = _memberships.create_memberships(
         settings, incarnation, table, leases
     )
-    configurations = _configurations.create_configuration_holder(table)
+    configurations = _configurations.create_configuration_holder(table, metrics)
     heartbeats = _heartbeats.create_heartbeat_service(
         settings,
         transport.session,
--- a/packages/daemon/cowslipvalve_daemon/_entries.py
+++ b/packages/daemon/cowslipvalve_daemon/_entries.py
@@ -14,6 +14,7 @@
 from cowslipvalve_daemon import _quarantines
 from cowslipvalve_daemon import _querystreams
 from cowslipvalve_daemon import _replicas
+from cowslipvalve_daemon import _runstates
 from cowslipvalve_daemon import _searchruns
 
 _LOGGER = logging.getLogger(__name__)
@@ -157,7 +158,7 @@
         await run.run()
         return run
 
-    def _create_tools(self, search: model.Search) -> _searchruns.SearchTools:
+    def _create_tools(self, search: model.Search) -> _runstates.SearchTools:
         name = search.metadata.name
         shared = self._policies.get(name)
         if shared is None or shared.extra_load != search.spec.extra_load:
@@ -175,7 +176,7 @@
         def count_failure(reason: model.Reason) -> None:
             self._metrics.failures.add(1, {"reason": str(reason)})
 
-        return _searchruns.SearchTools(
+        return _runstates.SearchTools(
             clock=self._clock,
             directory=self._directory,
             streams=self._streams,
--- a/packages/daemon/cowslipvalve_daemon/_homes.py
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -151,10 +151,9 @@
         }
         for name, worker in list(self._workers.items()):
             server = wanted.get(name)
-            if server is not None and server.spec == worker.server.spec:
-                continue
-            await worker.lose_home()
-            if not worker.is_busy:
+            if server is None or server.spec != worker.server.spec:
+                worker.retire()
+            if worker.is_retired and not worker.is_busy:
                 await self._remove(name, worker)
         for name, server in wanted.items():
             if name not in self._workers:
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/_orderdispatchers.py
@@ -0,0 +1,150 @@
+"""Sends an order to one server."""
+
+import uuid
+from typing import Any
+
+import aiohttp
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _replicas
+
+GRACE_MS = 200  # The home answers a little after the deadline.
+_HTTP_OK = 200
+_RETRY_MS = 50  # The wait before servers that refused are asked again.
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """A caller's order on its way."""
+
+    # The id of the caller's request.
+    request_id: str
+    # The search that it is for.
+    search: model.Search
+    # What the caller sent.
+    request: model.OrderRequest
+    # The time on this host's clock at which the caller stops waiting, in ms.
+    deadline_ms: float
+
+    @property
+    def name(self) -> str:
+        """The name of the search."""
+        return self.search.metadata.name
+
+
+class OrderDispatcher:
+    """Sends an order to one server, and never again once a byte may be out."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        scheme: str,
+        directory: _replicas.ReplicaDirectory,
+        memberships: _memberships.Memberships,
+        clock: model.Clock,
+    ) -> None:
+        self._session = session
+        self._scheme = scheme
+        self._directory = directory
+        self._memberships = memberships
+        self._clock = clock
+
+    async def run(self, order: Order, fingerprint: str) -> model.HomeOrderReply:
+        """Tries the servers in turn until one has taken the order."""
+        reply = model.HomeOrderReply(
+            model.Outcome.NOT_RUN, model.Reason.NO_SERVER
+        )
+        ranked = policy.rank_names(
+            self._directory.servers_of(order.name), order.request_id
+        )
+        while self._clock.now_ms() < order.deadline_ms:
+            for server in ranked:
+                replica = self._directory.replica(server)
+                if replica is None:
+                    continue
+                reply = await self._send(order, fingerprint, replica)
+                if reply.outcome is not model.Outcome.NOT_RUN:
+                    return reply
+            if reply.reason is model.Reason.QUARANTINED:
+                return reply
+            await self._clock.sleep_ms(_RETRY_MS)
+        return reply
+
+    async def _send(
+        self, order: Order, fingerprint: str, replica: _replicas.Replica
+    ) -> model.HomeOrderReply:
+        record = self._memberships.host_record(replica.home)
+        if record is None:
+            return model.HomeOrderReply(
+                model.Outcome.NOT_RUN, model.Reason.NOT_HOME
+            )
+        remaining_ms = order.deadline_ms - self._clock.now_ms()
+        if remaining_ms <= 0:
+            return model.HomeOrderReply(
+                model.Outcome.NOT_RUN, model.Reason.DEADLINE
+            )
+        message = model.HomeOrder(
+            order.request_id,
+            uuid.uuid4().hex,
+            order.name,
+            replica.server,
+            fingerprint,
+            order.request.order,
+            remaining_ms,
+        )
+        reply: model.HomeOrderReply = await post_order(
+            self._session,
+            f"{self._scheme}://{record.address}/peer/order",
+            message,
+            remaining_ms + GRACE_MS,
+            model.HomeOrderReply,
+        )
+        return reply
+
+
+async def post_order(
+    session: aiohttp.ClientSession,
+    url: str,
+    message: Any,
+    timeout_ms: float,
+    kind: type[Any],
+) -> Any:
+    """Sends an order message over a connection of its own.
+
+    A kept connection may be closed by the peer while the order is on its way,
+    which would leave the outcome unknown for no need. Returns the peer's
+    reply, or a HomeOrderReply that says whether the message was sent.
+    """
+    timeout = aiohttp.ClientTimeout(total=model.to_seconds(timeout_ms))
+    try:
+        async with session.post(
+            url,
+            data=model.encode(message),
+            timeout=timeout,
+            headers={"Connection": "close"},
+        ) as response:
+            text = await response.read()
+            if response.status != _HTTP_OK:
+                return model.HomeOrderReply(
+                    model.Outcome.UNKNOWN, model.Reason.MISMATCH
+                )
+            return model.decode(kind, text)
+    except aiohttp.ClientConnectorError:
+        return model.HomeOrderReply(
+            model.Outcome.NOT_RUN, model.Reason.UNREACHABLE
+        )
+    except (aiohttp.ClientError, OSError):
+        return model.HomeOrderReply(
+            model.Outcome.UNKNOWN, model.Reason.CONNECTION_LOST
+        )
+    except TimeoutError:
+        return model.HomeOrderReply(
+            model.Outcome.UNKNOWN, model.Reason.DEADLINE
+        )
+    except model.InputError:
+        return model.HomeOrderReply(
+            model.Outcome.UNKNOWN, model.Reason.MISMATCH
+        )
--- a/packages/daemon/cowslipvalve_daemon/_orders.py
+++ b/packages/daemon/cowslipvalve_daemon/_orders.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 import uuid
-from typing import Any
-
 import aiohttp
 import attrs
 
@@ -15,149 +13,13 @@
 from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _orderdispatchers
 from cowslipvalve_daemon import _replicas
 from cowslipvalve_daemon import _settings
 from cowslipvalve_daemon import _tickets
 from cowslipvalve_daemon import _transports
 
 _LOGGER = logging.getLogger(__name__)
-_HTTP_OK = 200
-_RETRY_MS = 50  # The wait before servers that refused are asked again.
-_GRACE_MS = 200  # The home answers a little after the deadline.
-
-
-@attrs.frozen(kw_only=True)
-class Order:
-    """A caller's order on its way."""
-
-    # The id of the caller's request.
-    request_id: str
-    # The search that it is for.
-    search: model.Search
-    # What the caller sent.
-    request: model.OrderRequest
-    # The time on this host's clock at which the caller stops waiting, in ms.
-    deadline_ms: float
-
-    @property
-    def name(self) -> str:
-        """The name of the search."""
-        return self.search.metadata.name
-
-
-class OrderDispatcher:
-    """Sends an order to one server, and never again once a byte may be out."""
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        scheme: str,
-        directory: _replicas.ReplicaDirectory,
-        memberships: _memberships.Memberships,
-        clock: model.Clock,
-    ) -> None:
-        self._session = session
-        self._scheme = scheme
-        self._directory = directory
-        self._memberships = memberships
-        self._clock = clock
-
-    async def run(self, order: Order, fingerprint: str) -> model.HomeOrderReply:
-        """Tries the servers in turn until one has taken the order."""
-        reply = model.HomeOrderReply(
-            model.Outcome.NOT_RUN, model.Reason.NO_SERVER
-        )
-        ranked = policy.rank_names(
-            self._directory.servers_of(order.name), order.request_id
-        )
-        while self._clock.now_ms() < order.deadline_ms:
-            for server in ranked:
-                replica = self._directory.replica(server)
-                if replica is None:
-                    continue
-                reply = await self._send(order, fingerprint, replica)
-                if reply.outcome is not model.Outcome.NOT_RUN:
-                    return reply
-            if reply.reason is model.Reason.QUARANTINED:
-                return reply
-            await self._clock.sleep_ms(_RETRY_MS)
-        return reply
-
-    async def _send(
-        self, order: Order, fingerprint: str, replica: _replicas.Replica
-    ) -> model.HomeOrderReply:
-        record = self._memberships.host_record(replica.home)
-        if record is None:
-            return model.HomeOrderReply(
-                model.Outcome.NOT_RUN, model.Reason.NOT_HOME
-            )
-        remaining_ms = order.deadline_ms - self._clock.now_ms()
-        if remaining_ms <= 0:
-            return model.HomeOrderReply(
-                model.Outcome.NOT_RUN, model.Reason.DEADLINE
-            )
-        message = model.HomeOrder(
-            order.request_id,
-            uuid.uuid4().hex,
-            order.name,
-            replica.server,
-            fingerprint,
-            order.request.order,
-            remaining_ms,
-        )
-        reply: model.HomeOrderReply = await post_order(
-            self._session,
-            f"{self._scheme}://{record.address}/peer/order",
-            message,
-            remaining_ms + _GRACE_MS,
-            model.HomeOrderReply,
-        )
-        return reply
-
-
-async def post_order(
-    session: aiohttp.ClientSession,
-    url: str,
-    message: Any,
-    timeout_ms: float,
-    kind: type[Any],
-) -> Any:
-    """Sends an order message over a connection of its own.
-
-    A kept connection may be closed by the peer while the order is on its way,
-    which would leave the outcome unknown for no need. Returns the peer's
-    reply, or a HomeOrderReply that says whether the message was sent.
-    """
-    timeout = aiohttp.ClientTimeout(total=model.to_seconds(timeout_ms))
-    try:
-        async with session.post(
-            url,
-            data=model.encode(message),
-            timeout=timeout,
-            headers={"Connection": "close"},
-        ) as response:
-            text = await response.read()
-            if response.status != _HTTP_OK:
-                return model.HomeOrderReply(
-                    model.Outcome.UNKNOWN, model.Reason.MISMATCH
-                )
-            return model.decode(kind, text)
-    except aiohttp.ClientConnectorError:
-        return model.HomeOrderReply(
-            model.Outcome.NOT_RUN, model.Reason.UNREACHABLE
-        )
-    except (aiohttp.ClientError, OSError):
-        return model.HomeOrderReply(
-            model.Outcome.UNKNOWN, model.Reason.CONNECTION_LOST
-        )
-    except TimeoutError:
-        return model.HomeOrderReply(
-            model.Outcome.UNKNOWN, model.Reason.DEADLINE
-        )
-    except model.InputError:
-        return model.HomeOrderReply(
-            model.Outcome.UNKNOWN, model.Reason.MISMATCH
-        )
 
 
 class Orders:
@@ -166,7 +28,7 @@
     def __init__(
         self,
         entry: _entries.Entry,
-        dispatcher: OrderDispatcher,
+        dispatcher: _orderdispatchers.OrderDispatcher,
         claims: platform.ClaimStore,
         tickets: _tickets.TicketBook,
         memberships: _memberships.Memberships,
@@ -213,7 +75,7 @@
         deadline_ms = self._clock.now_ms() + _entries.choose_deadline_ms(
             search.spec, request.deadline_ms
         )
-        order = Order(
+        order = _orderdispatchers.Order(
             request_id=request_id,
             search=search,
             request=request,
@@ -236,7 +98,9 @@
         )
         return answer
 
-    async def run_claimed(self, order: Order) -> model.OrderAnswer:
+    async def run_claimed(
+        self, order: _orderdispatchers.Order
+    ) -> model.OrderAnswer:
         """Runs an order whose key is claimed in the platform first."""
         key = order.request.key
         if not key:
@@ -275,7 +139,9 @@
             )
         return _create_answer(order, reply)
 
-    async def run_ticketed(self, order: Order) -> model.OrderAnswer:
+    async def run_ticketed(
+        self, order: _orderdispatchers.Order
+    ) -> model.OrderAnswer:
         """Runs an order at the host that issued its ticket."""
         if not order.request.ticket:
             raise model.RequestError(
@@ -288,7 +154,7 @@
         return await self._forward(order, name)
 
     async def _run_own(
-        self, order: Order, name: _tickets.TicketName
+        self, order: _orderdispatchers.Order, name: _tickets.TicketName
     ) -> model.OrderAnswer:
         ticket = self._tickets.find(name)
         if ticket is None or ticket.search != order.name:
@@ -311,7 +177,10 @@
         return await asyncio.shield(running)
 
     async def _run_first(
-        self, order: Order, ticket: _tickets.IssuedTicket, fingerprint: str
+        self,
+        order: _orderdispatchers.Order,
+        ticket: _tickets.IssuedTicket,
+        fingerprint: str,
     ) -> model.OrderAnswer:
         try:
             reply = await self._dispatcher.run(order, fingerprint)
@@ -331,7 +200,7 @@
         return answer
 
     async def _await_first(
-        self, order: Order, ticket: _tickets.IssuedTicket
+        self, order: _orderdispatchers.Order, ticket: _tickets.IssuedTicket
     ) -> model.OrderAnswer:
         """Waits for the answer of the request that came first."""
         if ticket.fingerprint != _fingerprint(order):
@@ -353,7 +222,7 @@
         return attrs.evolve(ticket.answer, request_id=order.request_id)
 
     async def _forward(
-        self, order: Order, name: _tickets.TicketName
+        self, order: _orderdispatchers.Order, name: _tickets.TicketName
     ) -> model.OrderAnswer:
         """Hands an order to the only host that may run it."""
         record = self._memberships.host_record(name.host)
@@ -361,11 +230,11 @@
             return _unknown(order, model.Reason.ISSUER_GONE)
         left_ms = order.deadline_ms - self._clock.now_ms()
         request = attrs.evolve(order.request, deadline_ms=max(1, int(left_ms)))
-        reply = await post_order(
+        reply = await _orderdispatchers.post_order(
             self._session,
             f"{self._scheme}://{record.address}/peer/forwarded-order",
             model.ForwardedOrder(order.request_id, order.name, request),
-            left_ms + _GRACE_MS,
+            left_ms + _orderdispatchers.GRACE_MS,
             model.OrderAnswer,
         )
         if isinstance(reply, model.OrderAnswer):
@@ -374,18 +243,20 @@
         return _unknown(order, model.Reason.ISSUER_GONE)
 
 
-def _fingerprint(order: Order) -> str:
+def _fingerprint(order: _orderdispatchers.Order) -> str:
     return policy.compute_fingerprint(order.name, order.request.order)
 
 
-def _unknown(order: Order, reason: model.Reason) -> model.OrderAnswer:
+def _unknown(
+    order: _orderdispatchers.Order, reason: model.Reason
+) -> model.OrderAnswer:
     return _create_answer(
         order, model.HomeOrderReply(model.Outcome.UNKNOWN, reason)
     )
 
 
 def _create_answer(
-    order: Order, reply: model.HomeOrderReply
+    order: _orderdispatchers.Order, reply: model.HomeOrderReply
 ) -> model.OrderAnswer:
     return model.OrderAnswer(
         request_id=order.request_id,
@@ -408,7 +279,7 @@
     clock: model.Clock,
 ) -> Orders:
     """Returns the orders of this incarnation of the host."""
-    dispatcher = OrderDispatcher(
+    dispatcher = _orderdispatchers.OrderDispatcher(
         transport.session, transport.scheme, directory, memberships, clock
     )
     tickets = _tickets.create_ticket_book(
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -3,16 +3,13 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable, Iterable
-
-import attrs
+from collections.abc import Awaitable, Iterable
 
 import cowslipvalve_model as model
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _partials
-from cowslipvalve_daemon import _quarantines
-from cowslipvalve_daemon import _querystreams
 from cowslipvalve_daemon import _replicas
+from cowslipvalve_daemon import _runstates
 
 _RETRY_MS = 40  # The wait before a shard without another replica is retried.
 _MAX_CANARIES = 2  # Servers that a body may crash before it is stopped.
@@ -34,58 +31,12 @@
 )
 
 
-@attrs.define(eq=False)
-class _Shard:
-    """What is known of one shard of the request."""
-
-    index: int
-    tried: set[str] = attrs.field(factory=set)
-    pending: set[str] = attrs.field(factory=set)
-    is_answered: bool = False
-    is_hedged: bool = False
-    retry_at_ms: float | None = None
-    reason: model.Reason = model.Reason.NO_SERVER
-    may_have_run: bool = False
-
-
-@attrs.define(eq=False)
-class _Sent:
-    """A query that was sent to one home."""
-
-    query: model.HomeQuery
-    stream: _querystreams.QueryStream
-    sent_ms: float
-    left: set[int]
-
-
-@attrs.frozen(kw_only=True)
-class SearchTools:
-    """What all requests of an entry share."""
-
-    # Reads the time.
-    clock: model.Clock
-    # Chooses servers.
-    directory: _replicas.ReplicaDirectory
-    # Reaches the homes.
-    streams: _querystreams.QueryStreams
-    # Knows harmful bodies.
-    quarantine: _quarantines.Quarantine
-    # Bounds retries and hedges of this search.
-    budget: policy.ExtraLoadBudget
-    # Shard latencies of this search.
-    latencies: policy.LatencyWindow
-    # Counts attempts: the number and whether they are extra.
-    count_attempts: Callable[[int, bool], None]
-    # Counts failed shard queries by reason.
-    count_failure: Callable[[model.Reason], None]
-
-
 class SearchRun:
     """Gathers the shards of one snapshot for one request."""
 
     def __init__(
         self,
-        tools: SearchTools,
+        tools: _runstates.SearchTools,
         search: model.Search,
         view: policy.SnapshotView,
         indices: Iterable[int],
@@ -103,8 +54,10 @@
         self._fingerprint = fingerprint
         self._deadline_ms = deadline_ms
         self._fan_out_ms = tools.clock.now_ms()
-        self._shards = {index: _Shard(index) for index in indices}
-        self._sent: dict[str, _Sent] = {}
+        self._shards = {
+            index: _runstates.ShardState(index) for index in indices
+        }
+        self._sent: dict[str, _runstates.SentQuery] = {}
         self._updated = asyncio.Event()
         self._hits: tuple[model.Hit, ...] = ()
         self._total = 0
@@ -189,7 +142,9 @@
             self._cancel_needless()
         self._updated.set()
 
-    def _take_result(self, sent: _Sent, result: model.ShardResult) -> bool:
+    def _take_result(
+        self, sent: _runstates.SentQuery, result: model.ShardResult
+    ) -> bool:
         """Takes one shard's result; returns whether its hits are wanted."""
         shard = self._shards[result.index]
         shard.pending.discard(sent.query.query_id)
@@ -226,7 +181,7 @@
                 self._name, self._fingerprint
             )
 
-    def _note_gone(self, shard: _Shard) -> None:
+    def _note_gone(self, shard: _runstates.ShardState) -> None:
         holders = set(self._view.servers.get(shard.index, ()))
         if holders <= shard.tried:
             self.is_snapshot_gone = True
@@ -320,7 +275,7 @@
             return False
         return self.coverage.share >= max(self._spec.min_coverage, 1e-9)
 
-    def _is_hopeful(self, shard: _Shard) -> bool:
+    def _is_hopeful(self, shard: _runstates.ShardState) -> bool:
         if shard.is_answered:
             return False
         return bool(shard.pending) or shard.retry_at_ms is not None
@@ -348,7 +303,7 @@
                 )
         self._updated.clear()
 
-    async def _send_all(self, shards: list[_Shard]) -> None:
+    async def _send_all(self, shards: list[_runstates.ShardState]) -> None:
         """Sends first attempts, one query to each home."""
         self._tools.budget.add_first_attempts(len(shards))
         sent = await self._send_shards(shards)
@@ -391,19 +346,21 @@
                 shard.tried.clear()
                 shard.retry_at_ms = now_ms + _RETRY_MS
 
-    def _may_retry(self, shard: _Shard) -> bool:
+    def _may_retry(self, shard: _runstates.ShardState) -> bool:
         if shard.reason in _FREE_REASONS:
             return True
         if shard.reason is model.Reason.NO_SERVER:
             return True
         return self._tools.budget.take(1) == 1
 
-    def _choose(self, shard: _Shard) -> _replicas.Replica | None:
+    def _choose(self, shard: _runstates.ShardState) -> _replicas.Replica | None:
         return self._tools.directory.choose(
             self._view.servers.get(shard.index, ()), shard.tried
         )
 
-    async def _send_shards(self, shards: Iterable[_Shard]) -> int:
+    async def _send_shards(
+        self, shards: Iterable[_runstates.ShardState]
+    ) -> int:
         """Sends one query to each home; returns the number of shards."""
         by_home: dict[str, dict[str, list[int]]] = {}
         count = 0
@@ -452,7 +409,9 @@
                 shard.retry_at_ms = None
             self._tools.directory.add_outstanding(server, len(group))
         stream = await self._tools.streams.get(home)
-        self._sent[query.query_id] = _Sent(query, stream, now_ms, indices)
+        self._sent[query.query_id] = _runstates.SentQuery(
+            query, stream, now_ms, indices
+        )
         stream.send(query, self)
 
     def _cancel_needless(self) -> None:
@@ -464,14 +423,14 @@
                 self._forget(sent, sent.left)
                 del self._sent[query_id]
 
-    def _note_unanswered(self, sent: _Sent) -> None:
+    def _note_unanswered(self, sent: _runstates.SentQuery) -> None:
         """Notes how long the servers that are given up have taken so far."""
         latency_ms = self._tools.clock.now_ms() - sent.sent_ms
         for target in sent.query.targets:
             if sent.left.intersection(target.indices):
                 self._tools.directory.add_latency(target.server, latency_ms)
 
-    def _forget(self, sent: _Sent, indices: set[int]) -> None:
+    def _forget(self, sent: _runstates.SentQuery, indices: set[int]) -> None:
         """Stops counting shard queries that nobody waits for."""
         for target in sent.query.targets:
             count = len(indices.intersection(target.indices, sent.left))
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -4,6 +4,7 @@
 import logging
 import math
 
+import attrs
 import mode
 
 import cowslipvalve_backend as backend
@@ -14,18 +15,14 @@
 from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _serverhealth
 
 _LOGGER = logging.getLogger(__name__)
 _MAX_BATCH = 32
 _STATE_MS = 500  # The time between two readings of the server's own state.
+_GRACE_MS = 100  # The answer of a server that stopped at the deadline.
 _RECHECK_MS = 20  # The wait for a lease or for a handover.
-_DRAINING_MS = 5_000  # A draining refusal holds for so long without a state.
-_REFUSED_MS = 500  # The wait after a connection that was not taken.
-_FAILURES_TO_OPEN = 3
-_STRIKE_MS = 60_000  # A suspect is not let to the same server for so long.
 _SERVICE_WEIGHT = 0.1
-_CONTROL_CONNECTIONS = 2  # Kept for state and cancel calls.
-_NEVER = float("-inf")
 
 
 class ServerWorker(mode.Service):
@@ -56,20 +53,21 @@
         self._exclusive = False
         self._unproven: set[str] = set()
         self._service_ms = 5.0
-        self._boot_id = ""
-        self._draining_until_ms = _NEVER
-        self._refused_until_ms = _NEVER
-        self._failures = 0
-        self._strikes: dict[str, float] = {}
+        self._health = _serverhealth.create_server_health(clock)
+        self._is_retired = False
         self._published: model.ServerRecord | None = None
         self._state: model.ServerState | None = None
-        self._attempts = 0
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is running on the server."""
         return self._running > 0
 
+    @property
+    def is_retired(self) -> bool:
+        """Whether the worker only waits for its running requests to end."""
+        return self._is_retired
+
     @property
     def may_serve(self) -> bool:
         """Whether this host may send work to the server now."""
@@ -77,8 +75,8 @@
 
     async def on_start(self) -> None:
         """Starts one task for each slot."""
-        for index in range(self.server.spec.slots):
-            self.add_future(self._run_slot(index))
+        for _ in range(self.server.spec.slots):
+            self.add_future(self._run_slot())
 
     async def on_stop(self) -> None:
         """Refuses what waits and closes the connections."""
@@ -88,7 +86,7 @@
     async def enqueue(self, job: _jobs.ShardJob) -> None:
         """Takes a job, or refuses it at once."""
         if job.is_trusted:
-            self._strikes.pop(job.fingerprint, None)
+            self._health.clear_strike(job.fingerprint)
         reason = self._refusal(job.fingerprint, job.deadline_ms)
         if reason is not model.Reason.NONE:
             job.finish(model.Outcome.NOT_RUN, reason)
@@ -117,7 +115,7 @@
         try:
             async with self._wake:
                 await asyncio.wait_for(
-                    self._wake.wait_for(lambda: self._may_start(0)),
+                    self._wake.wait_for(self._may_start),
                     model.to_seconds(max(0.0, left_ms)),
                 )
                 self._running += 1
@@ -127,8 +125,9 @@
             self._waiting_orders -= 1
         return True
 
-    async def lose_home(self) -> None:
-        """Refuses what waits, because another host is the home now."""
+    def retire(self) -> None:
+        """Refuses what waits and what comes; another worker follows."""
+        self._is_retired = True
         self._queue.refuse_all(model.Reason.NOT_HOME)
         self._published = None
 
@@ -157,11 +156,11 @@
                 await self._notify()
             await self._clock.sleep_ms(_RECHECK_MS)
 
-    async def _run_slot(self, index: int) -> None:
+    async def _run_slot(self) -> None:
         while not self.should_stop:
             async with self._wake:
                 await self._wake.wait_for(
-                    lambda: self._has_work() and self._may_start(index)
+                    lambda: self._has_work() and self._may_start()
                 )
                 batch, exclusive = self._take_batch()
             if not batch:
@@ -175,7 +174,7 @@
     def _has_work(self) -> bool:
         return self._queue.find_next(self._unproven) is not None
 
-    def _may_start(self, index: int) -> bool:
+    def _may_start(self) -> bool:
         slots = self.server.spec.slots
         if self._exclusive or self._running >= slots:
             return False
@@ -186,34 +185,28 @@
             return False
         if self._gate.delay_ms() > 0:
             return False
-        return self._is_open() and self.may_serve and index < slots
+        return self._is_open() and self.may_serve
 
     def _is_open(self) -> bool:
-        if self._configurations.is_server_out(self.server):
+        if self._is_retired or self._configurations.is_server_out(self.server):
             return False
-        now_ms = self._clock.now_ms()
-        return now_ms >= max(self._refused_until_ms, self._draining_until_ms)
+        return self._health.reason is model.Reason.NONE
 
     def _refusal(self, fingerprint: str, deadline_ms: float) -> model.Reason:
         """Returns why a job cannot be taken, or that it can."""
-        now_ms = self._clock.now_ms()
-        if not self._memberships.is_first_for(self.name):
+        if self._is_retired or not self._memberships.is_first_for(self.name):
             return model.Reason.NOT_HOME
         if self._configurations.is_server_out(self.server):
             return model.Reason.OUT
-        if now_ms < max(self._draining_until_ms, self._refused_until_ms):
-            is_draining = now_ms < self._draining_until_ms
-            return (
-                model.Reason.DRAINING
-                if is_draining
-                else model.Reason.UNREACHABLE
-            )
-        if self._strikes.get(fingerprint, _NEVER) > now_ms - _STRIKE_MS:
+        if self._health.reason is not model.Reason.NONE:
+            return self._health.reason
+        if self._health.has_strike(fingerprint):
             return model.Reason.QUARANTINED
-        return self._queue_refusal(now_ms, deadline_ms)
+        return self._queue_refusal(deadline_ms)
 
-    def _queue_refusal(self, now_ms: float, deadline_ms: float) -> model.Reason:
-        if now_ms + self._expected_wait_ms() < deadline_ms:
+    def _queue_refusal(self, deadline_ms: float) -> model.Reason:
+        left_ms = deadline_ms - self._clock.now_ms()
+        if self._expected_wait_ms() < left_ms:
             return model.Reason.NONE
         if self._gate.is_warm:
             return model.Reason.QUEUE_FULL
@@ -248,8 +241,11 @@
         now_ms = self._clock.now_ms()
         for job in batch:
             remaining_ms = job.deadline_ms - now_ms
-            job.query = _with_remaining(job.query, remaining_ms)
+            job.query = attrs.evolve(job.query, remaining_ms=remaining_ms)
         timeout_ms = max(job.deadline_ms for job in batch) - now_ms
+        # The server stops at the deadline itself, and only then is its slot
+        # free; without its answer the slot could be given away too early.
+        timeout_ms += _GRACE_MS
         opened = self._client.connections_opened
         try:
             reply = await self._client.query(
@@ -290,19 +286,17 @@
         for job, answer in zip(batch, reply.answers, strict=True):
             if answer.outcome is model.Outcome.ANSWERED:
                 answered += 1
-                self._strikes.pop(job.fingerprint, None)
+                self._health.clear_strike(job.fingerprint)
             self._note_refusal(answer.reason)
             job.finish(answer.outcome, answer.reason, answer.total, answer.hits)
         if not answered:
             return
-        self._failures = 0
+        self._health.note_answer()
         per_query_ms = latency_ms / len(batch)
         self._service_ms += _SERVICE_WEIGHT * (per_query_ms - self._service_ms)
         # The time of a new connection says nothing of the server's warmth.
-        if not is_new_connection and self._gate.add_answer(per_query_ms):
+        if self._gate.add_answer(None if is_new_connection else per_query_ms):
             self._note_warm_up("latency")
-        elif is_new_connection:
-            self._gate.add_answer(0.0)
 
     async def _send_order(self, job: _jobs.OrderJob) -> model.HomeOrderReply:
         now_ms = self._clock.now_ms()
@@ -314,13 +308,13 @@
         self._gate.start(1)
         try:
             reply = await self._client.order(
-                _order_with_remaining(job.order, timeout_ms), timeout_ms
+                attrs.evolve(job.order, remaining_ms=timeout_ms), timeout_ms
             )
         except model.NotRunError as error:
             self._note_refused_connection()
             return model.HomeOrderReply(model.Outcome.NOT_RUN, error.reason)
         except model.CrashedError:
-            self._strikes[job.fingerprint] = self._clock.now_ms()
+            self._health.add_strike(job.fingerprint)
             self._restart_warm_up("connection-lost")
             return model.HomeOrderReply(
                 model.Outcome.UNKNOWN, model.Reason.CONNECTION_LOST
@@ -333,7 +327,7 @@
         self._note_boot(reply.boot_id)
         self._note_refusal(reply.reason)
         if reply.outcome is model.Outcome.ANSWERED:
-            self._gate.add_answer(0.0)
+            self._gate.add_answer(None)
         return model.HomeOrderReply(reply.outcome, reply.reason, reply.result)
 
     async def _release(self, exclusive: bool) -> None:
@@ -347,20 +341,22 @@
             self._wake.notify_all()
 
     def _note_boot(self, boot_id: str) -> None:
-        if self._boot_id and self._boot_id != boot_id:
+        if self._health.note_boot(boot_id):
             self._restart_warm_up("new-boot")
-        self._boot_id = boot_id
 
     def _note_refusal(self, reason: model.Reason) -> None:
         if reason is model.Reason.SHED:
             self._restart_warm_up("shed")
         elif reason is model.Reason.DRAINING:
-            self._draining_until_ms = self._clock.now_ms() + _DRAINING_MS
-            self._queue.refuse_all(model.Reason.DRAINING)
-            self.publish()
+            self._note_draining()
+
+    def _note_draining(self) -> None:
+        self._health.note_draining()
+        self._queue.refuse_all(model.Reason.DRAINING)
+        self.publish()
 
     def _note_refused_connection(self) -> None:
-        self._refused_until_ms = self._clock.now_ms() + _REFUSED_MS
+        self._health.note_refused_connection()
         self._restart_warm_up("connection-refused")
         self._queue.refuse_all(model.Reason.UNREACHABLE)
         self.publish()
@@ -368,19 +364,15 @@
     def _note_crash(
         self, batch: list[_jobs.ShardJob], error: model.CrashedError
     ) -> None:
-        now_ms = self._clock.now_ms()
         for job in batch:
             if not job.is_trusted:
-                self._strikes[job.fingerprint] = now_ms
+                self._health.add_strike(job.fingerprint)
                 self._queue.refuse_body(job.fingerprint)
         self._restart_warm_up("connection-lost")
         self._note_failure(error)
 
     def _note_failure(self, error: model.CowslipvalveError) -> None:
-        self._failures += 1
-        if self._failures >= _FAILURES_TO_OPEN:
-            self._failures = 0
-            self._refused_until_ms = self._clock.now_ms() + _REFUSED_MS
+        if self._health.note_failure():
             self._restart_warm_up("failures")
             self.publish()
         _logs.log_event(
@@ -406,23 +398,19 @@
         except model.NotRunError:
             if self._state is None:
                 return
-            self._failures += 1
-            if self._failures >= _FAILURES_TO_OPEN:
+            if self._health.note_failure():
                 self._note_refused_connection()
             return
         self._note_boot(self._state.boot_id)
-        now_ms = self._clock.now_ms()
         if self._state.draining:
-            self._draining_until_ms = now_ms + _DRAINING_MS
-            self._queue.refuse_all(model.Reason.DRAINING)
+            self._note_draining()
 
     def _condition(self) -> model.ServerCondition:
-        now_ms = self._clock.now_ms()
         if self._configurations.is_server_out(self.server):
             return model.ServerCondition.OUT
-        if now_ms < self._draining_until_ms:
+        if self._health.reason is model.Reason.DRAINING:
             return model.ServerCondition.DRAINING
-        if now_ms < self._refused_until_ms:
+        if self._health.reason is model.Reason.UNREACHABLE:
             return model.ServerCondition.UNREACHABLE
         if self._gate.is_warm:
             return model.ServerCondition.SERVING
@@ -455,32 +443,6 @@
         job.finish(outcome, reason)
 
 
-def _with_remaining(
-    query: model.ShardQuery, remaining_ms: float
-) -> model.ShardQuery:
-    return model.ShardQuery(
-        query.request_id,
-        query.attempt_id,
-        query.snapshot,
-        query.index,
-        query.body,
-        remaining_ms,
-        query.top_hits,
-    )
-
-
-def _order_with_remaining(
-    order: model.ServerOrder, remaining_ms: float
-) -> model.ServerOrder:
-    return model.ServerOrder(
-        order.request_id,
-        order.attempt_id,
-        order.search,
-        order.body,
-        remaining_ms,
-    )
-
-
 def create_server_worker(
     server: model.BackendServer,
     memberships: _memberships.Memberships,
--- a/packages/policy/cowslipvalve_policy/_warmups.py
+++ b/packages/policy/cowslipvalve_policy/_warmups.py
@@ -53,8 +53,16 @@
         start_ms = max(self._next_start_ms, self._clock.now_ms())
         self._next_start_ms = start_ms + spacing_ms
 
-    def add_answer(self, latency_ms: float) -> bool:
-        """Counts a good answer; returns whether it sent the rate back."""
+    def add_answer(self, latency_ms: float | None) -> bool:
+        """Counts a good answer; returns whether it sent the rate back.
+
+        Args:
+          latency_ms: The time of a query, none if it says nothing of the
+            server's warmth.
+        """
+        if latency_ms is None:
+            self._grow()
+            return False
         if self._is_slow(latency_ms):
             self._slow_answers += 1
             if self._slow_answers >= _JUMP_ANSWERS:
--- a/standins/cowslipvalve_standins/_server.py
+++ b/standins/cowslipvalve_standins/_server.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import random
 import uuid
 from typing import Any
@@ -110,7 +109,7 @@
         self._running = 0
         self._waiting = 0
         self._connections: dict[Any, asyncio.Transport] = {}
-        self._cancelled: collections.deque[str] = collections.deque(maxlen=500)
+        self._works: list[tuple[set[str], asyncio.Future[None]]] = []
         self._last_attempt = "none"
         self._random = random.Random(shape.name)
         self._warmth = _warmth.create_warmth(
@@ -168,21 +167,35 @@
             return self._reply(answers)
         if self._must_crash(str([query.body for query in batch.queries])):
             return self._crash(request)
+        return await self._run_batch(request, batch)
+
+    async def _run_batch(
+        self, request: web.Request, batch: model.ServerBatch
+    ) -> web.StreamResponse:
         boot_id = self._boot_id
         if self._faults.hang:
             await asyncio.sleep(_HANG_S)
         if self._faults.lose == "before":
             return _lose_answer(request)
-        per_query_ms = self._shape.query_ms * len(batch.queries)
-        await self._work(self._shape.batch_ms + per_query_ms)
-        if request.transport is None or request.transport.is_closing():
-            self._stats.cancelled += 1
-        if boot_id != self._boot_id:
-            return _lose_answer(request)
-        answers = tuple(self._answer(query) for query in batch.queries)
-        if self._faults.lose == "after":
+        is_done = await self._work_on(batch)
+        if boot_id != self._boot_id or self._faults.lose == "after":
             return _lose_answer(request)
-        return self._reply(answers)
+        answer = self._answer if is_done else _give_up
+        return self._reply(tuple(answer(query) for query in batch.queries))
+
+    async def _work_on(self, batch: model.ServerBatch) -> bool:
+        """Returns whether the work ended before its deadline or a cancel."""
+        per_query_ms = self._shape.query_ms * len(batch.queries)
+        attempts = {query.attempt_id for query in batch.queries}
+        remaining_ms = max(query.remaining_ms for query in batch.queries)
+        work = asyncio.ensure_future(
+            self._work(self._shape.batch_ms + per_query_ms)
+        )
+        self._works.append((attempts, work))
+        try:
+            return await self._finish_work(work, remaining_ms)
+        finally:
+            self._works = [item for item in self._works if item[1] is not work]
 
     async def _order(self, request: web.Request) -> web.StreamResponse:
         order = model.decode(model.ServerOrder, await request.read())
@@ -229,24 +242,40 @@
             return model.Reason.SHED
         return model.Reason.NONE
 
+    async def _finish_work(
+        self, work: asyncio.Future[None], remaining_ms: float
+    ) -> bool:
+        """Returns whether the work ended before its deadline or a cancel."""
+        try:
+            await asyncio.wait_for(work, remaining_ms / _MS_PER_SECOND)
+        except TimeoutError:
+            self._stats.expired += 1
+            return False
+        except asyncio.CancelledError:
+            if not work.cancelled():
+                raise
+            return False
+        return True
+
     async def _work(self, duration_ms: float) -> None:
         """Occupies a slot for as long as the work takes."""
         self._waiting += 1
         if self._running >= self._shape.slots:
             self._stats.overruns += 1
-        async with self._slots:
+        try:
+            await self._slots.acquire()
+        finally:
             self._waiting -= 1
-            self._running += 1
-            self._stats.max_running = max(
-                self._stats.max_running, self._running
-            )
-            try:
-                duration_ms *= self._warmth.factor
-                if self._random.random() < self._faults.straggle_share:
-                    duration_ms += self._faults.straggle_ms
-                await asyncio.sleep(duration_ms / _MS_PER_SECOND)
-            finally:
-                self._running -= 1
+        self._running += 1
+        self._stats.max_running = max(self._stats.max_running, self._running)
+        try:
+            duration_ms *= self._warmth.factor
+            if self._random.random() < self._faults.straggle_share:
+                duration_ms += self._faults.straggle_ms
+            await asyncio.sleep(duration_ms / _MS_PER_SECOND)
+        finally:
+            self._running -= 1
+            self._slots.release()
 
     def _answer(self, query: model.ShardQuery) -> model.ShardAnswer:
         if query.index not in self._holdings.get(query.snapshot, ()):
@@ -296,7 +325,10 @@
     async def _cancel(self, request: web.Request) -> web.Response:
         cancel = model.decode(model.CancelRequest, await request.read())
         self._stats.cancelled += len(cancel.attempt_ids)
-        self._cancelled.extend(cancel.attempt_ids)
+        for attempts, work in self._works:
+            attempts.difference_update(cancel.attempt_ids)
+            if not attempts:
+                work.cancel()
         return web.Response()
 
     async def _state(self, _request: web.Request) -> web.Response:
@@ -333,6 +365,17 @@
         )
 
 
+def _give_up(query: model.ShardQuery) -> model.ShardAnswer:
+    return model.ShardAnswer(
+        query.request_id,
+        query.attempt_id,
+        query.snapshot,
+        query.index,
+        model.Outcome.UNKNOWN,
+        model.Reason.DEADLINE,
+    )
+
+
 def _refuse(query: model.ShardQuery, reason: model.Reason) -> model.ShardAnswer:
     return model.ShardAnswer(
         query.request_id,
--- a/standins/cowslipvalve_standins/ablated.py
+++ b/standins/cowslipvalve_standins/ablated.py
@@ -16,6 +16,7 @@
 import cowslipvalve_daemon._heartbeats as daemon_heartbeats
 import cowslipvalve_daemon._homes as daemon_homes
 import cowslipvalve_daemon._memberships as daemon_memberships
+import cowslipvalve_daemon._orderdispatchers as daemon_dispatchers
 import cowslipvalve_daemon._orders as daemon_orders
 import cowslipvalve_daemon._quarantines as daemon_quarantines
 import cowslipvalve_daemon._replicas as daemon_replicas
@@ -119,7 +120,7 @@
 
 
 def _retry_unknown_orders() -> None:
-    dispatcher: Any = daemon_orders.OrderDispatcher
+    dispatcher: Any = daemon_dispatchers.OrderDispatcher
     old_send = dispatcher._send
 
     async def send(self: Any, *arguments: Any) -> model.HomeOrderReply:
--- a/standins/cowslipvalve_standins/servers.py
+++ b/standins/cowslipvalve_standins/servers.py
@@ -17,7 +17,12 @@
 async def _serve(shapes: list[_server.ServerShape]) -> None:
     for shape in shapes:
         app = _server.create_server(shape).create_app()
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=0.1,
+            handler_cancellation=True,
+        )
         await runner.setup()
         host, _, port = shape.address.rpartition(":")
         await web.TCPSite(runner, host, int(port)).start()
