Keep the hedge budget for stragglers

Cause: traces of single requests show hedges for 7 of 10 shards after 10 ms, at the median of a busy moment; the bucket was empty when the one slow server held a shard for 200 to 400 ms (hedge allowed 0). Change: while more than a fifth of the shards are late, hedges wait, three times at most.

--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -12,6 +12,8 @@
 from cowslipvalve_daemon import _runstates
 
 _RETRY_MS = 40  # The wait before a shard without another replica is retried.
+_FEW_STRAGGLERS = 0.2  # The share of shards that single slow servers explain.
+_MAX_HEDGE_WAITS = 3
 _MAX_CANARIES = 2  # Servers that a body may crash before it is stopped.
 _QUERY_NUMBERS = itertools.count(1)
 # The server has not seen these, or has turned them down at no cost.
@@ -63,6 +65,7 @@
         self._total = 0
         self._lost_servers: set[str] = set()
         self._hedge_at_ms = float("inf")
+        self._hedge_waits = 0
         self._proven: Awaitable[None] | None = None
         self.is_quarantined = False
         self.is_snapshot_gone = False
@@ -250,9 +253,8 @@
                 if not s.is_answered and not s.pending
             ]
         )
-        now_ms = self._tools.clock.now_ms()
         if self._spec.hedge:
-            self._hedge_at_ms = now_ms + self._tools.latencies.hedge_delay_ms()
+            self._arm_hedge()
         while not self._is_over():
             await self._wait_until(self._next_time_ms())
             if self.is_quarantined or self.is_snapshot_gone:
@@ -310,21 +312,32 @@
         self._tools.count_attempts(sent, False)
 
     async def _hedge(self) -> None:
-        """Asks another replica of each straggler, within the budget."""
-        stragglers = [
+        """Asks another replica of each straggler, within the budget.
+
+        While many shards are late the load is high rather than a server slow.
+        Hedges would add to it and leave none for a straggler, so they wait.
+        """
+        late = [
             shard
             for shard in self._shards.values()
-            if not shard.is_answered
-            and shard.pending
-            and not shard.is_hedged
-            and self._choose(shard) is not None
+            if not shard.is_answered and shard.pending and not shard.is_hedged
         ]
+        few = max(1, int(len(self._shards) * _FEW_STRAGGLERS))
+        if len(late) > few and self._hedge_waits < _MAX_HEDGE_WAITS:
+            self._hedge_waits += 1
+            self._arm_hedge()
+            return
+        stragglers = [shard for shard in late if self._choose(shard)]
         allowed = self._tools.budget.take(len(stragglers))
         chosen = stragglers[:allowed]
         for shard in chosen:
             shard.is_hedged = True
         self._tools.count_attempts(await self._send_shards(chosen), True)
 
+    def _arm_hedge(self) -> None:
+        delay_ms = self._tools.latencies.hedge_delay_ms()
+        self._hedge_at_ms = self._tools.clock.now_ms() + delay_ms
+
     async def _retry(self) -> None:
         """Sends the failed shards to other replicas."""
         now_ms = self._tools.clock.now_ms()
