--- a/packages/daemon/cowslipvalve_daemon/_replicas.py
+++ b/packages/daemon/cowslipvalve_daemon/_replicas.py
@@ -86,6 +86,13 @@
         """Returns a server with its present home."""
         return self.choose((server,), ())
 
+    def is_warming(self, server: str) -> bool:
+        """Whether a server is being brought up to full load."""
+        record = self._record(server)
+        if record is None:
+            return False
+        return record.condition is model.ServerCondition.WARMING
+
     def servers_of(self, search: str) -> tuple[str, ...]:
         """Returns the servers that are declared for a search."""
         return tuple(
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -297,6 +297,7 @@
         # The time of a new connection says nothing of the server's warmth.
         if self._gate.add_answer(None if is_new_connection else per_query_ms):
             self._note_warm_up("latency")
+            self.publish()
 
     async def _send_order(self, job: _jobs.OrderJob) -> model.HomeOrderReply:
         now_ms = self._clock.now_ms()
@@ -387,6 +388,7 @@
     def _restart_warm_up(self, reason: str) -> None:
         self._gate.restart()
         self._note_warm_up(reason)
+        self.publish()
 
     def _note_warm_up(self, reason: str) -> None:
         self._metrics.warm_ups.add(1, {"reason": reason})
--- /dev/null
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_compilers.py
@@ -0,0 +1,65 @@
+"""Tests of the compilation of resources."""
+
+import unittest
+from typing import Any
+
+import attrs
+
+import cowslipvalve_model as model
+import cowslipvalve_platform as platform
+from cowslipvalve_daemon import _compilers
+
+
+def _search(deadline_ms: Any, name: str = "s") -> platform.StoredObject:
+    return platform.create_object(
+        "Search", name, {"deadlineMs": deadline_ms}, "aino"
+    )
+
+
+class CompilationTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.first = _compilers.compile_configuration(
+            model.Configuration(), [_search(100)], 1
+        )
+
+    def test_first_configuration_has_number_one(self) -> None:
+        self.assertEqual(self.first.configuration.number, 1)
+        change = self.first.changes[0]
+        self.assertEqual((change.operator, change.before), ("aino", ""))
+        search = self.first.configuration.searches["s"]
+        self.assertEqual(search.status.accepted_number, 1)
+
+    def test_same_specs_change_nothing(self) -> None:
+        touched = attrs.evolve(
+            _search(100), metadata=model.Metadata(name="s", resource_version=9)
+        )
+        again = _compilers.compile_configuration(
+            self.first.configuration, [touched], 2
+        )
+        self.assertIs(again.configuration, self.first.configuration)
+        self.assertEqual(again.changes, ())
+
+    def test_bad_resource_keeps_its_last_spec_and_others_go_on(self) -> None:
+        compiled = _compilers.compile_configuration(
+            self.first.configuration, [_search("soon"), _search(5, "t")], 2
+        )
+        searches = compiled.configuration.searches
+        self.assertEqual(searches["s"].spec.deadline_ms, 100)
+        self.assertEqual(searches["t"].spec.deadline_ms, 5)
+        self.assertEqual([c.name for c in compiled.changes], ["t"])
+        self.assertIn("deadlineMs", compiled.rejections[0].message)
+
+    def test_new_bad_resource_is_left_out(self) -> None:
+        compiled = _compilers.compile_configuration(
+            model.Configuration(), [_search(0)], 1
+        )
+        self.assertEqual(compiled.configuration.number, 0)
+        self.assertEqual(len(compiled.rejections), 1)
+
+    def test_deletion_is_a_change(self) -> None:
+        compiled = _compilers.compile_configuration(
+            self.first.configuration, [], 2
+        )
+        self.assertEqual(compiled.configuration.searches, {})
+        self.assertEqual(compiled.changes[0].after, "")
--- /dev/null
+++ b/packages/peers/cowslipvalve_peers/tests/test_exchanges.py
@@ -0,0 +1,116 @@
+"""Tests of the exchange of records between hosts."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+import cowslipvalve_model as model
+import cowslipvalve_peers as peers
+from cowslipvalve_standins import _clocks
+
+_TIMES = peers.LeaseTimes(heartbeat_ms=250, dead_ms=900, lease_ms=1_500)
+_HOSTS = 4
+
+
+def _create_entry(name: str, out: bool, version: int) -> model.Entry:
+    record = model.PlacementRecord(
+        kind="FailureDomain", name=name, resource_version=version, out=out
+    )
+    return model.Entry(version, placement=record)
+
+
+class _Host:
+    """One host's table and exchange."""
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        self.name = name
+        self.table = peers.create_record_table()
+        leases = peers.create_lease_keeper(
+            _clocks.create_manual_clock(), _TIMES, name, incarnation
+        )
+        self.exchange = peers.create_exchange(
+            name, incarnation, self.table, leases
+        )
+
+    def contents(self) -> dict[str, model.Entry]:
+        return {
+            entry.placement.name: entry
+            for entry in self.table.entries("FailureDomain")
+            if entry.placement is not None
+        }
+
+
+def _exchange(one: _Host, other: _Host, lose: str) -> None:
+    """Runs one exchange, whose message or answer may be lost."""
+    message = one.exchange.build(other.name, 0, False)
+    if lose == "message":
+        return
+    other.exchange.merge(message)
+    answer = other.exchange.build(one.name, 0, False)
+    if lose != "answer":
+        one.exchange.merge(answer)
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("write", "exchange", "restart")),
+        strategies.integers(0, _HOSTS - 1),
+        strategies.integers(0, _HOSTS - 1),
+        strategies.sampled_from(("", "message", "answer")),
+    ),
+    max_size=60,
+)
+
+
+class ExchangeTest(unittest.TestCase):
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(_STEPS)
+    def test_all_hosts_come_to_hold_the_same(
+        self, steps: list[tuple[str, int, int, str]]
+    ) -> None:
+        hosts = [_Host(f"host-{number}", 1) for number in range(_HOSTS)]
+        incarnation = 1
+        for number, (step, one, other, lose) in enumerate(steps):
+            if step == "write":
+                entry = _create_entry(f"domain-{other}", bool(number % 2), 1)
+                hosts[one].table.write(entry)
+            elif step == "restart":
+                incarnation += 1
+                hosts[one] = _Host(f"host-{one}", incarnation)
+            elif one != other:
+                _exchange(hosts[one], hosts[other], lose)
+        for _ in range(3):
+            for one in range(_HOSTS):
+                for other in range(_HOSTS):
+                    if one != other:
+                        _exchange(hosts[one], hosts[other], "")
+        for host in hosts[1:]:
+            self.assertEqual(host.contents(), hosts[0].contents())
+
+    def test_calm_messages_hold_no_records(self) -> None:
+        one, other = _Host("one", 1), _Host("other", 1)
+        one.table.write(_create_entry("domain", True, 1))
+        for _ in range(2):
+            _exchange(one, other, "")
+        self.assertEqual(one.exchange.build("other", 0, False).entries, ())
+
+    def test_message_of_an_older_incarnation_is_dropped(self) -> None:
+        old, new, other = _Host("a", 1), _Host("a", 2), _Host("b", 1)
+        old.table.write(_create_entry("domain", True, 1))
+        late = old.exchange.build("b", 0, False)
+        _exchange(new, other, "")
+        other.exchange.merge(late)
+        self.assertEqual(other.contents(), {})
+
+    def test_long_lists_go_in_several_messages(self) -> None:
+        one, other = _Host("one", 1), _Host("other", 1)
+        names = [f"domain-{number}" for number in range(1_200)]
+        random.Random(1).shuffle(names)
+        for name in names:
+            one.table.write(_create_entry(name, True, 1))
+        for _ in range(4):
+            _exchange(one, other, "")
+        self.assertEqual(len(other.contents()), len(names))
