--- a/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
@@ -7,6 +7,7 @@
 
 import cowslipvalve_model as model
 from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _placements
 from cowslipvalve_standins import _sessions
 
 _TARGET_S = 3.0  # By then no new work may go to what was taken out.
@@ -15,15 +16,6 @@
 _NOWHERE = "http://127.0.0.1:9"  # The discard port, on which nobody listens.
 
 
-async def write_placement(
-    deployment: _deployments.Deployment, kind: str, name: str, placement: str
-) -> None:
-    """Writes the placement of a resource as an operator does."""
-    stored = await deployment.client.get(kind, name)
-    spec = {**stored.spec, "placement": placement}
-    await deployment.client.update(attrs.evolve(stored, spec=spec))
-
-
 class DomainOutTest(_sessions.SessionTest):
     """A domain that is out gets no new work, and service goes on."""
 
@@ -37,13 +29,17 @@
             )
         )
         await asyncio.sleep(1.0)
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
         await asyncio.sleep(_TARGET_S)
         before = await _sessions.count_stats(deployment, "queries", _DOMAIN)
         await asyncio.sleep(1.5)
         after = await _sessions.count_stats(deployment, "queries", _DOMAIN)
         self.assertEqual(after, before)
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "in")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "in"
+        )
         result = await load
         self.assert_right(result)
         self.assertEqual(dict(result.failures), {})
@@ -53,7 +49,9 @@
 
     async def test_platform_goes_away_just_after_the_write(self) -> None:
         deployment = await self.start()
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
         # Watchers have seen the write; the configuration is not committed.
         await asyncio.sleep(0.02)
         await deployment.put_platform_faults(away=True)
@@ -64,7 +62,9 @@
         await deployment.kill_host(_ALONE)
         await deployment.start_host(_ALONE, platformUrl=_NOWHERE)
         await deployment.wait_until_ready((_ALONE,), self.search)
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
         await self._check_no_work(deployment, _DOMAIN, (_ALONE,))
 
     async def _check_no_work(
@@ -91,7 +91,9 @@
     async def test_server_is_drained_by_its_resource(self) -> None:
         deployment = await self.start()
         name = "price-lists-1-a"
-        await write_placement(deployment, "BackendServer", name, "out")
+        await _placements.write_placement(
+            deployment, "BackendServer", name, "out"
+        )
         await self._check_no_work(deployment, name)
 
     async def test_server_that_drains_is_believed_despite_its_state(
@@ -127,7 +129,9 @@
         self,
     ) -> None:
         deployment = await self.start()
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
         await asyncio.sleep(_TARGET_S)
         await deployment.put_platform_faults(away=True)
         await deployment.kill_host(_ALONE)
@@ -143,7 +147,9 @@
         await deployment.put_platform_faults(lost_answers=2)
         names = [f"price-lists-{index}-a" for index in range(self.shards)]
         writes = [
-            write_placement(deployment, "BackendServer", name, "out")
+            _placements.write_placement(
+                deployment, "BackendServer", name, "out"
+            )
             for name in names
         ]
         await asyncio.gather(*writes, return_exceptions=True)
@@ -173,7 +179,7 @@
         highest: dict[str, int] = {}
         for number in range(6):
             placement = "out" if number % 2 == 0 else "in"
-            await write_placement(
+            await _placements.write_placement(
                 deployment, "BackendServer", "price-lists-0-a", placement
             )
             if number == 2:
@@ -275,7 +281,9 @@
         transcript: _sessions.Transcript,
     ) -> None:
         transcript.add_input(f"write FailureDomain {_DOMAIN} placement out")
-        await write_placement(deployment, "FailureDomain", _DOMAIN, "out")
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
         await asyncio.sleep(_TARGET_S)
         for name in ("kuopio", "rovaniemi", _DOMAIN):
             item = await deployment.client.get("FailureDomain", name)
--- /dev/null
+++ b/standins/cowslipvalve_standins/measure_orders.py
@@ -0,0 +1,91 @@
+"""Measures the two guards of orders side by side.
+
+python -m cowslipvalve_standins.measure_orders prints one row for each guard:
+latency, platform writes an order, and orders served while the platform is away.
+"""
+
+import asyncio
+import statistics
+import time
+from typing import Any
+
+from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _shapes
+
+_ORDERS = 200
+_HOSTS = 6
+_GUARDS = (("orders", "ticket"), ("weighings", "key"))
+_PAUSE_S = 0.02
+
+
+async def _send(
+    deployment: _deployments.Deployment, search: str, guard: str, number: int
+) -> tuple[str, float]:
+    """Sends one order; returns its outcome and how long it took in ms."""
+    hosts = list(deployment.hosts)
+    host = hosts[number % len(hosts)]
+    path = f"/v1/searches/{search}"
+    start = time.monotonic()
+    value = f"order-{number}"
+    if guard == "ticket":
+        _, ticket = await deployment.post(host, f"{path}/tickets", {})
+        value = ticket["ticket"]
+    body: dict[str, Any] = {"order": {"id": f"{guard}-{number}"}, guard: value}
+    _, answer = await deployment.post(host, f"{path}/orders", body)
+    return answer["outcome"], (time.monotonic() - start) * 1e3
+
+
+async def _count_writes(deployment: _deployments.Deployment) -> int:
+    calls = await deployment.platform_calls()
+    return sum(
+        count
+        for name, count in calls.items()
+        if name.endswith("OrderClaim") and not name.startswith("GET")
+    )
+
+
+async def _measure(
+    deployment: _deployments.Deployment, search: str, guard: str
+) -> None:
+    before = await _count_writes(deployment)
+    results = []
+    for number in range(_ORDERS):
+        results.append(await _send(deployment, search, guard, number))
+        await asyncio.sleep(_PAUSE_S)
+    writes = await _count_writes(deployment) - before
+    await deployment.put_platform_faults(away=True)
+    away = [
+        await _send(deployment, search, guard, _ORDERS + number)
+        for number in range(10)
+    ]
+    await deployment.put_platform_faults(away=False)
+    times = sorted(took_ms for _, took_ms in results)
+    answered = sum(outcome == "answered" for outcome, _ in results)
+    served = sum(outcome == "answered" for outcome, _ in away)
+    print(
+        f"| {guard} | {answered} of {_ORDERS} | {statistics.median(times):.1f}"
+        f" | {times[int(0.99 * len(times))]:.1f} | {writes / _ORDERS:.2f}"
+        f" | {served} of {len(away)} |",
+        flush=True,
+    )
+
+
+async def _run() -> None:
+    shape = _shapes.create_deployment_shape(
+        _shapes.create_haapaniemi(shards=2, hosts=_HOSTS)
+    )
+    async with _deployments.Deployment(shape) as deployment:
+        await deployment.wait_until_ready()
+        print("| guard | answered | p50 ms | p99 ms | writes | while away |")
+        print("|---|---|---|---|---|---|")
+        for search, guard in _GUARDS:
+            await _measure(deployment, search, guard)
+
+
+def main() -> None:
+    """Measures both guards."""
+    asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/cowslipvalve_standins/slopes.py
+++ b/standins/cowslipvalve_standins/slopes.py
@@ -6,12 +6,10 @@
 
 import asyncio
 import functools
-import os
-import statistics
 import sys
 import time
 import tracemalloc
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable
 
 import aiohttp
 import attrs
@@ -26,48 +24,12 @@
 from cowslipvalve_standins import _clocks
 from cowslipvalve_standins import _data
 from cowslipvalve_standins import _deployments
-from cowslipvalve_standins import _loads
-from cowslipvalve_standins import _shapes
+from cowslipvalve_standins import _fits
+from cowslipvalve_standins import _livecosts
 
 _US_PER_S = 1_000_000
 _MIN_TIME_S = 0.2
 _HITS = 10
-_IDLE_S = 8.0
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
-Points = Sequence[tuple[float, float]]
-
-
-@attrs.frozen
-class _Line:
-    """A fitted line and how far the points are from it."""
-
-    intercept: float
-    slope: float
-    residual: float
-
-
-def _fit(points: Points) -> _Line:
-    sizes = [size for size, _ in points]
-    costs = [cost for _, cost in points]
-    slope, intercept = statistics.linear_regression(sizes, costs)
-    fitted = [intercept + slope * size for size in sizes]
-    squares = [
-        (cost - line) ** 2 for cost, line in zip(costs, fitted, strict=True)
-    ]
-    residual = statistics.mean(squares) ** 0.5 / statistics.mean(costs)
-    return _Line(intercept, slope, residual)
-
-
-def _report(name: str, unit: str, per: str, points: Points) -> None:
-    line = _fit(points)
-    shown = ", ".join(f"{size:g}: {cost:.4g}" for size, cost in points)
-    print(
-        f"| {name} | {shown} | {line.intercept:.4g} {unit} +"
-        f" {line.slope:.4g} {unit} per {per} | {line.residual:.0%} |",
-        flush=True,
-    )
 
 
 def _time_us(work: Callable[[], object]) -> float:
@@ -155,8 +117,8 @@
 
         costs.append((float(cell), _time_us(work)))
         sizes.append((float(cell), float(len(text))))
-    _report(f"heartbeat, {name}: both ends", "us", "host", costs)
-    _report(f"heartbeat, {name}: size", "B", "host", sizes)
+    _fits.report_fit(f"heartbeat, {name}: both ends", "us", "host", costs)
+    _fits.report_fit(f"heartbeat, {name}: size", "B", "host", sizes)
 
 
 def measure_table() -> None:
@@ -188,9 +150,9 @@
                 ),
             )
         )
-    _report("table: memory", "kB", "server", memory)
-    _report("table: nothing new", "us", "server", quiet)
-    _report("table: one new record", "us", "server", full)
+    _fits.report_fit("table: memory", "kB", "server", memory)
+    _fits.report_fit("table: nothing new", "us", "server", quiet)
+    _fits.report_fit("table: one new record", "us", "server", full)
 
 
 def _create_query(targets: int, number: int = 1) -> model.HomeQuery:
@@ -250,7 +212,7 @@
                     _partials.merge_hits(partial.hits, _HITS)
 
             points.append((float(batch), _time_us(work)))
-        _report(
+        _fits.report_fit(
             f"entry leg, both ends, {shards} shards a query",
             "us",
             "query in the batch",
@@ -286,7 +248,9 @@
             model.decode(model.ServerReply, text)
 
         points.append((float(batch), _time_us(work)))
-    _report("server leg, home's end", "us", "shard query in the batch", points)
+    _fits.report_fit(
+        "server leg, home's end", "us", "shard query in the batch", points
+    )
 
 
 def measure_exchange() -> None:
@@ -342,7 +306,7 @@
             await send(body)
         took = (time.process_time() - start) / 300 * _US_PER_S
         points.append((size / 1e3, took))
-    _report(name, "us", "kB", points)
+    _fits.report_fit(name, "us", "kB", points)
 
 
 def measure_configuration() -> None:
@@ -375,10 +339,10 @@
                 _time_us(functools.partial(model.compute_delta, old, new)),
             )
         )
-    _report("configuration: size", "kB", "server", sizes)
-    _report("configuration: memory", "kB", "server", memory)
-    _report("configuration: decode the whole", "us", "server", whole)
-    _report("configuration: compute a change", "us", "server", change)
+    _fits.report_fit("configuration: size", "kB", "server", sizes)
+    _fits.report_fit("configuration: memory", "kB", "server", memory)
+    _fits.report_fit("configuration: decode the whole", "us", "server", whole)
+    _fits.report_fit("configuration: compute a change", "us", "server", change)
 
 
 def _create_configuration(servers: int) -> model.Configuration:
@@ -434,82 +398,9 @@
                 ),
             )
         )
-    _report("plan: snapshots from records, per change", "us", "shard", points)
-
-
-def _read_process(pid: int) -> tuple[float, float]:
-    """Returns the processor time in s and the memory in MB of a process."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
-        pages = int(file.read().split()[1])
-    seconds = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-    return seconds, pages * _PAGE_BYTES / 1e6
-
-
-def _read_hosts(deployment: _deployments.Deployment) -> tuple[float, float]:
-    """Returns the mean processor time and memory of all hosts."""
-    values = [
-        _read_process(host.process.pid)
-        for host in deployment.hosts.values()
-        if host.process is not None
-    ]
-    seconds = statistics.mean(value[0] for value in values)
-    return seconds, statistics.mean(value[1] for value in values)
-
-
-def measure_idle() -> None:
-    """Measures idle hosts by the number of hosts of a domain."""
-    points = []
-    for hosts in (3, 6, 12, 24):
-        points.append((hosts / 3, asyncio.run(_measure_idle(hosts))))
-    _report("idle host, processor", "% of a core", "host of its domain", points)
-
-
-async def _measure_idle(hosts: int) -> float:
-    site = _shapes.create_haapaniemi(shards=2, hosts=hosts)
-    shape = _shapes.create_deployment_shape(site)
-    async with _deployments.Deployment(shape) as deployment:
-        await deployment.wait_until_ready()
-        before, _ = _read_hosts(deployment)
-        await asyncio.sleep(_IDLE_S)
-        after, _ = _read_hosts(deployment)
-    return (after - before) / _IDLE_S * 100
-
-
-def measure_load() -> None:
-    """Measures hosts under load by the shards of a query and by the rate."""
-    by_shards = []
-    for shards in (2, 4, 8, 16):
-        by_shards.append(
-            (float(shards), asyncio.run(_measure_load(shards, 60.0)))
-        )
-    _report("query, all hosts together", "ms", "shard", by_shards)
-    by_rate = []
-    for rate in (20.0, 40.0, 80.0, 120.0):
-        cost = asyncio.run(_measure_load(8, rate))
-        by_rate.append((rate, cost * rate / 10))
-    _report("load of 8 shards, all hosts", "% of a core", "query/s", by_rate)
-
-
-async def _measure_load(shards: int, rate: float) -> float:
-    """Returns the processor time of a query in all hosts, in ms."""
-    site = _shapes.create_haapaniemi(shards=shards, hosts=6)
-    shape = _shapes.create_deployment_shape(site)
-    async with _deployments.Deployment(shape) as deployment:
-        await deployment.wait_until_ready(search="price-lists")
-        plan = _loads.LoadPlan(
-            search="price-lists",
-            hosts=tuple(deployment.hosts),
-            counts={_shapes.FIRST_SNAPSHOT: shards},
-            rate=rate,
-            duration_ms=4_000.0,
-        )
-        await _loads.run_load(deployment, plan)
-        before, _ = _read_hosts(deployment)
-        result = await _loads.run_load(deployment, plan)
-        after, _ = _read_hosts(deployment)
-    return (after - before) * len(deployment.hosts) / result.sent * 1e3
+    _fits.report_fit(
+        "plan: snapshots from records, per change", "us", "shard", points
+    )
 
 
 _MEASUREMENTS: dict[str, Callable[[], None]] = {
@@ -520,8 +411,8 @@
     "exchange": measure_exchange,
     "configuration": measure_configuration,
     "plan": measure_plan,
-    "idle": measure_idle,
-    "load": measure_load,
+    "idle": _livecosts.measure_idle,
+    "load": _livecosts.measure_load,
 }
 
 
