--- a/packages/daemon/cowslipvalve_daemon/_entries.py
+++ b/packages/daemon/cowslipvalve_daemon/_entries.py
@@ -19,6 +19,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _DEFAULT_LATENCY_MS = 50.0
+_NEWER_WAIT_MS = 600  # The homes notice and spread new shards within this.
+_NEWER_POLL_MS = 20
 
 
 @attrs.frozen
@@ -116,10 +118,8 @@
         run = await self._run_once(
             search, view, request, request_id, deadline_ms
         )
-        if run.is_snapshot_gone and self._clock.now_ms() < deadline_ms:
-            newer = policy.choose_snapshot(
-                self._directory.views(name), newer_than=view.snapshot.number
-            )
+        if run.is_snapshot_gone:
+            newer = await self._await_newer(name, view, deadline_ms)
             if newer is not None:
                 view = newer
                 run = await self._run_once(
@@ -127,6 +127,21 @@
                 )
         return _create_answer(search, view, run, request_id)
 
+    async def _await_newer(
+        self, name: str, view: policy.SnapshotView, deadline_ms: float
+    ) -> policy.SnapshotView | None:
+        """Returns a newer snapshot, of which the homes are about to tell."""
+        last_ms = min(deadline_ms, self._clock.now_ms() + _NEWER_WAIT_MS)
+        while True:
+            newer = policy.choose_snapshot(
+                self._directory.views(name), newer_than=view.snapshot.number
+            )
+            if newer is not None and newer.coverage >= view.coverage:
+                return newer
+            if self._clock.now_ms() >= last_ms:
+                return newer
+            await self._clock.sleep_ms(_NEWER_POLL_MS)
+
     async def _run_once(
         self,
         search: model.Search,
--- a/packages/daemon/cowslipvalve_daemon/_heartbeats.py
+++ b/packages/daemon/cowslipvalve_daemon/_heartbeats.py
@@ -16,7 +16,8 @@
 from cowslipvalve_daemon import _settings
 
 _LOGGER = logging.getLogger(__name__)
-_DISCOVERY_MS = 5_000  # The time between two readings of the lagging list.
+_DISCOVERY_MS = 5_000  # Between readings of the list while nobody is known.
+_REDISCOVERY_MS = 60_000  # Bounds what a large deployment asks the platform.
 _HTTP_OK = 200
 _MAX_PUSHED = 16  # Hosts that are reached at once by a push.
 
@@ -114,7 +115,9 @@
                 _logs.log_event(
                     _LOGGER, "host-list-failure", logging.DEBUG, error=error
                 )
-            await self.sleep(model.to_seconds(_DISCOVERY_MS))
+            is_alone = not self._memberships.other_hosts()
+            wait_ms = _DISCOVERY_MS if is_alone else _REDISCOVERY_MS
+            await self.sleep(model.to_seconds(wait_ms))
 
     def _start_mates(self) -> None:
         for record in self._memberships.other_hosts():
--- a/packages/daemon/cowslipvalve_daemon/_runstates.py
+++ b/packages/daemon/cowslipvalve_daemon/_runstates.py
@@ -21,6 +21,7 @@
     is_answered: bool = False
     is_hedged: bool = False
     retry_at_ms: float | None = None
+    charged_retries: int = 0
     reason: model.Reason = model.Reason.NO_SERVER
     may_have_run: bool = False
 
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -14,6 +14,7 @@
 _RETRY_MS = 40  # The wait before a shard without another replica is retried.
 _FEW_STRAGGLERS = 0.2  # The share of shards that single slow servers explain.
 _MAX_HEDGE_WAITS = 3
+_MAX_CHARGED_RETRIES = 2  # For each shard of a request.
 _MAX_CANARIES = 2  # Servers that a body may crash before it is stopped.
 _QUERY_NUMBERS = itertools.count(1)
 # The server has not seen these, or has turned them down at no cost.
@@ -351,13 +352,17 @@
             and shard.retry_at_ms is not None
             and shard.retry_at_ms <= now_ms
         ]
-        chosen = [shard for shard in due if self._may_retry(shard)]
+        chosen = [
+            shard
+            for shard in due
+            if not self._is_given_up(shard) and self._may_retry(shard)
+        ]
         for shard in due:
             shard.retry_at_ms = None
         sent = await self._send_shards(chosen)
         self._tools.count_attempts(sent, True)
         for shard in due:
-            if not shard.pending:
+            if not shard.pending and not self._is_given_up(shard):
                 # Its replicas may be back, or have another home, after a while.
                 shard.tried.clear()
                 shard.retry_at_ms = now_ms + _RETRY_MS
@@ -367,7 +372,20 @@
             return True
         if shard.reason is model.Reason.NO_SERVER:
             return True
-        return self._tools.budget.take(1) == 1
+        if self._tools.budget.take(1) == 0:
+            return False
+        shard.charged_retries += 1
+        return True
+
+    def _is_given_up(self, shard: _runstates.ShardState) -> bool:
+        """Whether retries of a shard have cost its servers enough work.
+
+        A shard whose replicas all fail would else use up what retries and
+        hedges of other requests may cost.
+        """
+        if shard.reason in _FREE_REASONS:
+            return False
+        return shard.charged_retries >= _MAX_CHARGED_RETRIES
 
     def _choose(self, shard: _runstates.ShardState) -> _replicas.Replica | None:
         return self._tools.directory.choose(
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -1,6 +1,7 @@
 """Sends work to one backend server within its slots and connections."""
 
 import asyncio
+import contextlib
 import logging
 import math
 
@@ -55,6 +56,7 @@
         self._service_ms = 5.0
         self._health = _serverhealth.create_server_health(clock)
         self._is_retired = False
+        self._state_is_old = asyncio.Event()
         self._published: model.ServerRecord | None = None
         self._state: model.ServerState | None = None
 
@@ -145,7 +147,11 @@
             if self.may_serve:
                 await self._read_state()
                 self.publish()
-            await self.sleep(model.to_seconds(_STATE_MS))
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(
+                    self._state_is_old.wait(), model.to_seconds(_STATE_MS)
+                )
+            self._state_is_old.clear()
 
     @mode.Service.task
     async def _expire(self) -> None:
@@ -153,6 +159,8 @@
         while not self.should_stop:
             if len(self._queue) or self._waiting_orders:
                 self._queue.refuse_expired(self._clock.now_ms())
+                if self._configurations.is_server_out(self.server):
+                    self._queue.refuse_all(model.Reason.OUT)
                 await self._notify()
             await self._clock.sleep_ms(_RECHECK_MS)
 
@@ -350,6 +358,8 @@
             self._restart_warm_up("shed")
         elif reason is model.Reason.DRAINING:
             self._note_draining()
+        elif reason is model.Reason.SNAPSHOT_GONE:
+            self._state_is_old.set()
 
     def _note_draining(self) -> None:
         self._health.note_draining()
