Let warming servers get work again

Cause: since canaries avoid warming servers and replicas are chosen warm ones first, a server that was not warm yet got no work and never warmed up. Ruled out: placements that do not spread (all hosts had the accepted number) and latencies that are remembered too long.

--- a/packages/daemon/cowslipvalve_daemon/_replicas.py
+++ b/packages/daemon/cowslipvalve_daemon/_replicas.py
@@ -14,7 +14,8 @@
 
 _OTHER_DOMAIN_MS = 10.0  # A round trip to another domain of the region.
 _OTHER_REGION_MS = 40.0  # A round trip to another region.
-_WARMING_MS = 1_000.0  # A warming server is asked only where no other is.
+_WARMING_MS = 1_000.0  # A warming server is asked only where no other is,
+_WARMING_SHARE = 0.2  # but for this share: it gets warm by working only.
 _WAITING_MS = 5.0  # The wait behind one shard query of this host.
 _LATENCY_WEIGHT = 0.3
 _LATENCY_HALF_LIFE_MS = 5_000.0
@@ -86,13 +87,6 @@
         """Returns a server with its present home."""
         return self.choose((server,), ())
 
-    def is_warming(self, server: str) -> bool:
-        """Whether a server is being brought up to full load."""
-        record = self._record(server)
-        if record is None:
-            return False
-        return record.condition is model.ServerCondition.WARMING
-
     def servers_of(self, search: str) -> tuple[str, ...]:
         """Returns the servers that are declared for a search."""
         return tuple(
@@ -146,7 +140,8 @@
         waiting = self._outstanding[record.server] / server.spec.slots
         cost_ms = max(self._distance_ms(server), self._recent_ms(record.server))
         cost_ms += waiting * _WAITING_MS
-        if record.condition is model.ServerCondition.WARMING:
+        is_warming = record.condition is model.ServerCondition.WARMING
+        if is_warming and random.random() >= _WARMING_SHARE:
             cost_ms += _WARMING_MS
         return cost_ms + random.random()
 
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -198,9 +198,9 @@
     async def _run_canary(self) -> bool:
         """Tries the body on one server, then on one other, before all.
 
-        The order of the servers follows from the body, warming ones last, so
-        that resends by way of other hosts meet the same two servers. Returns
-        whether a server has answered the body.
+        The order of the servers follows from the body alone, so that resends
+        by way of other hosts meet the same two servers. Returns whether a
+        server has answered the body.
         """
         ranked = self._rank_canaries()
         while not self._any_answered():
@@ -223,10 +223,7 @@
             for index in sorted(self._shards, reverse=True)
             for server in self._view.servers.get(index, ())
         }
-        ranked = sorted(
-            policy.rank_names(by_server, self._fingerprint),
-            key=self._tools.directory.is_warming,
-        )
+        ranked = policy.rank_names(by_server, self._fingerprint)
         return [(by_server[server], server) for server in ranked]
 
     async def _send_canary(self, index: int, server: str) -> None:
