Remove dead state and a loop that stood three times

Cause: a last read of the change. Streams kept for how long a home could not be reached, and order jobs a reply and a mark of cancellation, that nothing reads; three tests switched a fault of all servers in a loop of their own. Change: the dead state is gone; the tests call set_faults of the sessions. The full suite was not run.

--- a/packages/daemon/cowslipvalve_daemon/_jobs.py
+++ b/packages/daemon/cowslipvalve_daemon/_jobs.py
@@ -61,10 +61,6 @@
     fingerprint: str
     # The time on this host's clock at which the answer is of no use, in ms.
     deadline_ms: float
-    # Set by the slot that ran it, or by the queue that refused it.
-    reply: model.HomeOrderReply | None = None
-    # Whether the caller's side has given up before the job was started.
-    cancelled: bool = False
 
 
 class JobQueue:
--- a/packages/daemon/cowslipvalve_daemon/_querystreams.py
+++ b/packages/daemon/cowslipvalve_daemon/_querystreams.py
@@ -66,19 +66,12 @@
         self._wake = asyncio.Event()
         self._socket: aiohttp.ClientWebSocketResponse | None = None
         self._closed_until_ms = float("-inf")
-        self._failing_since_ms: float | None = None
 
     @property
     def is_reachable(self) -> bool:
         """Whether the last try to connect did not fail just now."""
         return self._clock.now_ms() >= self._closed_until_ms
 
-    def failing_ms(self) -> float:
-        """Returns for how long all tries have failed."""
-        if self._failing_since_ms is None:
-            return 0.0
-        return self._clock.now_ms() - self._failing_since_ms
-
     def send(self, query: model.HomeQuery, sink: PartialSink) -> None:
         """Hands over a query; its results go to the sink."""
         count = sum(len(target.indices) for target in query.targets)
@@ -111,8 +104,6 @@
                     error=repr(error),
                 )
             now_ms = self._clock.now_ms()
-            if self._failing_since_ms is None:
-                self._failing_since_ms = now_ms
             self._closed_until_ms = now_ms + _RETRY_MS
             self._fail_all()
             self._wake.clear()
@@ -145,7 +136,6 @@
         socket = await asyncio.wait_for(
             connecting, model.to_seconds(_CONNECT_MS)
         )
-        self._failing_since_ms = None
         self._socket = socket
         async with socket:
             sending = asyncio.ensure_future(self._send_batches(socket))
@@ -262,11 +252,6 @@
         stream = self._streams.get(host)
         return stream is None or stream.is_reachable
 
-    def failing_ms(self, host: str) -> float:
-        """Returns for how long a host could not be reached."""
-        stream = self._streams.get(host)
-        return stream.failing_ms() if stream else 0.0
-
 
 def create_query_streams(
     memberships: _memberships.Memberships,
--- a/packages/daemon/cowslipvalve_daemon/tests/test_home_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_home_sessions.py
@@ -214,10 +214,7 @@
 
     async def test_resends_meet_a_cold_replacement(self) -> None:
         deployment = await self.start()
-        for _, shape in deployment.shape.servers:
-            await deployment.put_server(
-                shape.name, "/faults", {"crash_on": "poison"}
-            )
+        await _sessions.set_faults(deployment, {"crash_on": "poison"})
         plan = self.plan(deployment, duration_ms=6_000.0)
         load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
         await asyncio.sleep(0.5)
--- a/packages/daemon/cowslipvalve_daemon/tests/test_read_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_read_sessions.py
@@ -111,10 +111,7 @@
         self,
     ) -> None:
         deployment = await self.start()
-        for _, shape in deployment.shape.servers:
-            await deployment.put_server(
-                shape.name, "/faults", {"crash_on": "poison"}
-            )
+        await _sessions.set_faults(deployment, {"crash_on": "poison"})
         plan = self.plan(deployment, texts=20)
         load = asyncio.ensure_future(_sessions.run_load(deployment, plan))
         await asyncio.sleep(0.5)
@@ -140,10 +137,7 @@
 
     async def test_resends_at_once_crash_two_servers(self) -> None:
         deployment = await self.start()
-        for _, shape in deployment.shape.servers:
-            await deployment.put_server(
-                shape.name, "/faults", {"crash_on": "poison"}
-            )
+        await _sessions.set_faults(deployment, {"crash_on": "poison"})
         at_once = [
             deployment.query(host, self.search, "poison pill")
             for host in deployment.hosts
--- a/standins/cowslipvalve_standins/_sessions.py
+++ b/standins/cowslipvalve_standins/_sessions.py
@@ -120,3 +120,11 @@
         stats = await deployment.server_stats(shape.name)
         runs += stats["orders"].get(order, 0)
     return runs
+
+
+async def set_faults(
+    deployment: _deployments.Deployment, faults: dict[str, Any]
+) -> None:
+    """Switches faults of all servers."""
+    for _, shape in deployment.shape.servers:
+        await deployment.put_server(shape.name, "/faults", faults)
