--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := model platform backend policy peers daemon cli
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e standins
+PACKAGES := model store backend policy peers gateway daemon cli
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform -e standins
 
 .PHONY: setup test demo check
 
-$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
@@ -22,6 +22,6 @@
 	$(BIN)/python -m cowslipvalve_standins.demo
 
 check: setup
-	$(BIN)/pyink --check --quiet packages standins
-	$(BIN)/ruff check --quiet packages standins
-	$(BIN)/mypy packages standins
+	$(BIN)/pyink --check --quiet packages platform standins
+	$(BIN)/ruff check --quiet packages platform standins
+	$(BIN)/mypy packages platform standins
--- a/packages/cli/cowslipvalve_cli/_files.py
+++ b/packages/cli/cowslipvalve_cli/_files.py
@@ -6,7 +6,7 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 
 
 @attrs.frozen(kw_only=True)
@@ -20,12 +20,12 @@
     # What the operator wants.
     spec: dict[str, Any] = attrs.field(factory=dict)
     # The version of the API's schema.
-    api_version: str = platform.API_VERSION
+    api_version: str = store.API_VERSION
     # What a listing holds besides; it is not written.
     status: dict[str, Any] = attrs.field(factory=dict)
 
 
-def read_resources(path: str) -> tuple[platform.StoredObject, ...]:
+def read_resources(path: str) -> tuple[store.StoredObject, ...]:
     """Returns the checked resources of a JSON file.
 
     The file holds one resource or a list of them.
@@ -49,7 +49,7 @@
     )
 
 
-def _check(place: str, plain: Any) -> platform.StoredObject:
+def _check(place: str, plain: Any) -> store.StoredObject:
     try:
         document = model.check_plain(_Document, plain)
         kind = model.KINDS.get(document.kind)
@@ -65,6 +65,6 @@
         raise model.InputError(
             f"{place}: {error}", step="check-file"
         ) from error
-    return platform.StoredObject(
+    return store.StoredObject(
         kind=document.kind, metadata=document.metadata, spec=document.spec
     )
--- a/packages/cli/cowslipvalve_cli/_main.py
+++ b/packages/cli/cowslipvalve_cli/_main.py
@@ -11,7 +11,7 @@
 import cyclopts
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_cli import _files
 from cowslipvalve_cli import _operations
 from cowslipvalve_cli import _output
@@ -89,7 +89,7 @@
       file: The path of the file, one resource or a list of them.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         written = [
             await _operations.apply_resource(
                 client, resource, _name_operator(operator)
@@ -130,7 +130,7 @@
       name: The name of the resource.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         items = await _operations.list_resources(client, _find_kind(kind), name)
         _output.print_resources(items, output)
 
@@ -148,7 +148,7 @@
       name: The name of the resource.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         _output.print_description(await client.get(_find_kind(kind), name))
 
     _run(platform_url, run)
@@ -170,7 +170,7 @@
       resource_version: Delete it only if it still has this version.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         await client.delete(_find_kind(kind), name, resource_version)
         print(f"{_find_kind(kind)} {name} is deleted")
 
@@ -185,7 +185,7 @@
       kind: One of search, server, domain, or the name of the kind.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         events = _operations.watch_resources(client, _find_kind(kind))
         async for event in events:
             print(model.encode(event).decode(), flush=True)
@@ -206,7 +206,7 @@
       name: The name of a resource; all if it is left out.
     """
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         _output.print_changes(
             await _operations.list_audit(client, name), output
         )
@@ -222,7 +222,7 @@
 ) -> None:
     """Prints the state of all domains, searches and servers."""
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         for kind in ("FailureDomain", "Search", "BackendServer"):
             if output is _output.Format.TABLE:
                 print(f"{kind}:")
@@ -302,7 +302,7 @@
     def change(spec: dict[str, Any]) -> dict[str, Any]:
         return {**spec, "placement": str(placement)}
 
-    async def run(client: platform.PlatformClient) -> None:
+    async def run(client: store.PlatformClient) -> None:
         written = await _operations.change_spec(
             client, kind, name, _name_operator(operator), change
         )
@@ -343,23 +343,23 @@
 
 
 def _run(
-    url: str, run: Callable[[platform.PlatformClient], Awaitable[None]]
+    url: str, run: Callable[[store.PlatformClient], Awaitable[None]]
 ) -> None:
     with _ExitOnError():
         asyncio.run(_run_with_client(url, run))
 
 
 async def _run_with_client(
-    url: str, run: Callable[[platform.PlatformClient], Awaitable[None]]
+    url: str, run: Callable[[store.PlatformClient], Awaitable[None]]
 ) -> None:
     async with _open_client(url) as client:
         await run(client)
 
 
 @asynccontextmanager
-async def _open_client(url: str) -> AsyncIterator[platform.PlatformClient]:
+async def _open_client(url: str) -> AsyncIterator[store.PlatformClient]:
     async with aiohttp.ClientSession() as session:
-        yield platform.create_client(session, url)
+        yield store.create_client(session, url)
 
 
 def main() -> None:
--- a/packages/cli/cowslipvalve_cli/_operations.py
+++ b/packages/cli/cowslipvalve_cli/_operations.py
@@ -6,7 +6,7 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 
 
 @attrs.frozen
@@ -24,8 +24,8 @@
 
 
 async def apply_resource(
-    client: platform.PlatformClient,
-    wanted: platform.StoredObject,
+    client: store.PlatformClient,
+    wanted: store.StoredObject,
     operator: str,
 ) -> Written:
     """Creates a resource or changes its spec.
@@ -39,7 +39,7 @@
         stored = await client.get(wanted.kind, name)
     except model.NotFoundError:
         created = await client.create(
-            platform.create_object(wanted.kind, name, wanted.spec, operator)
+            store.create_object(wanted.kind, name, wanted.spec, operator)
         )
         return _describe(created, "created")
     version = wanted.metadata.resource_version
@@ -56,7 +56,7 @@
 
 
 async def change_spec(
-    client: platform.PlatformClient,
+    client: store.PlatformClient,
     kind: str,
     name: str,
     operator: str,
@@ -76,8 +76,8 @@
 
 
 async def _write_spec(
-    client: platform.PlatformClient,
-    stored: platform.StoredObject,
+    client: store.PlatformClient,
+    stored: store.StoredObject,
     spec: dict[str, Any],
     operator: str,
 ) -> Written:
@@ -93,8 +93,8 @@
 
 
 async def list_resources(
-    client: platform.PlatformClient, kind: str, name: str
-) -> tuple[platform.StoredObject, ...]:
+    client: store.PlatformClient, kind: str, name: str
+) -> tuple[store.StoredObject, ...]:
     """Returns all resources of a kind, or the named one."""
     if name:
         return (await client.get(kind, name),)
@@ -102,10 +102,10 @@
 
 
 async def list_audit(
-    client: platform.PlatformClient, name: str
+    client: store.PlatformClient, name: str
 ) -> tuple[model.ConfigurationChange, ...]:
     """Returns the accepted changes, oldest first, of one resource if named."""
-    listed = await client.list(platform.AUDIT_KIND)
+    listed = await client.list(store.AUDIT_KIND)
     changes = (
         model.from_plain(model.ConfigurationChange, item.spec)
         for item in listed.items
@@ -119,17 +119,17 @@
 
 
 async def watch_resources(
-    client: platform.PlatformClient, kind: str
-) -> AsyncIterator[platform.WatchEvent]:
+    client: store.PlatformClient, kind: str
+) -> AsyncIterator[store.WatchEvent]:
     """Yields every resource of a kind, and then its changes."""
     listed = await client.list(kind)
     for item in listed.items:
-        yield platform.WatchEvent("ADDED", item)
+        yield store.WatchEvent("ADDED", item)
     async for event in client.watch(kind, listed.resource_version):
         yield event
 
 
-def _describe(item: platform.StoredObject, action: str) -> Written:
+def _describe(item: store.StoredObject, action: str) -> Written:
     return Written(
         item.kind,
         item.metadata.name,
--- a/packages/cli/cowslipvalve_cli/_output.py
+++ b/packages/cli/cowslipvalve_cli/_output.py
@@ -9,7 +9,7 @@
 import tabulate
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 
 _MS_PER_SECOND = 1_000
 _MAX_CELL = 60
@@ -32,7 +32,7 @@
 
 
 def print_resources(
-    items: Sequence[platform.StoredObject], output: Format
+    items: Sequence[store.StoredObject], output: Format
 ) -> None:
     """Prints resources with the main points of their status."""
     if output is Format.JSON:
@@ -42,7 +42,7 @@
     print(tabulate.tabulate(rows, headers="keys", tablefmt="plain"))
 
 
-def print_description(item: platform.StoredObject) -> None:
+def print_description(item: store.StoredObject) -> None:
     """Prints all of one resource."""
     _print_json(model.to_plain(item))
 
@@ -67,7 +67,7 @@
     print(tabulate.tabulate(rows, headers="keys", tablefmt="plain"))
 
 
-def _summarize(item: platform.StoredObject) -> dict[str, Any]:
+def _summarize(item: store.StoredObject) -> dict[str, Any]:
     status = dict(item.status)
     conditions = status.pop("conditions", [])
     observed = status.pop("observedGeneration", 0)
--- a/packages/daemon/cowslipvalve_daemon/_compilers.py
+++ b/packages/daemon/cowslipvalve_daemon/_compilers.py
@@ -6,7 +6,7 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_daemon import _configurations
 
 
@@ -36,7 +36,7 @@
     rejections: tuple[Rejection, ...]
 
 
-def check_resource(item: platform.StoredObject) -> model.Resource:
+def check_resource(item: store.StoredObject) -> model.Resource:
     """Builds a typed resource.
 
     Raises:
@@ -55,7 +55,7 @@
 
 def compile_configuration(
     old: model.Configuration,
-    items: Iterable[platform.StoredObject],
+    items: Iterable[store.StoredObject],
     now_ms: int,
 ) -> Compilation:
     """Returns the configuration that follows from the stored resources."""
--- a/packages/daemon/cowslipvalve_daemon/_configurations.py
+++ b/packages/daemon/cowslipvalve_daemon/_configurations.py
@@ -8,7 +8,6 @@
 import attrs
 
 import cowslipvalve_model as model
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _metrics
 import cowslipvalve_peers as peers
 
@@ -48,7 +47,7 @@
         self._metrics.accepted_number.add(new.number - old.number)
         if old.number:
             self._deltas.append(model.compute_delta(old, new))
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "configuration-installed",
             number=new.number,
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -10,13 +10,12 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_daemon import _callerapi
 from cowslipvalve_daemon import _configurations
 from cowslipvalve_daemon import _entries
 from cowslipvalve_daemon import _heartbeats
 from cowslipvalve_daemon import _homes
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
 from cowslipvalve_daemon import _operationsapi
@@ -86,7 +85,7 @@
             parts.streams,
         ):
             await self.add_runtime_dependency(service)
-        _logs.log_event(
+        model.log_event(
             _LOGGER, "started", domain=self._settings.failure_domain
         )
 
@@ -114,7 +113,7 @@
         if parts is None:
             return
         self._is_stopping = True
-        _logs.log_event(_LOGGER, "stopping")
+        model.log_event(_LOGGER, "stopping")
         deadline_ms = self._clock.now_ms() + self._settings.limits.drain_ms
         parts.leases.leave()
         await parts.heartbeats.push()
@@ -159,7 +158,7 @@
     metrics = _metrics.create_metrics()
     transport = _transports.create_transport(settings)
     platform_session = aiohttp.ClientSession()
-    client = platform.create_client(platform_session, settings.platform_url)
+    client = store.create_client(platform_session, settings.platform_url)
     table = peers.create_record_table()
     leases = peers.create_lease_keeper(
         clock,
@@ -213,7 +212,7 @@
         entry,
         directory,
         memberships,
-        platform.create_claim_store(client, clock),
+        store.create_claim_store(client, clock),
         metrics,
         clock,
     )
--- a/packages/daemon/cowslipvalve_daemon/_entries.py
+++ b/packages/daemon/cowslipvalve_daemon/_entries.py
@@ -9,7 +9,6 @@
 import cowslipvalve_model as model
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _configurations
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _metrics
 from cowslipvalve_daemon import _quarantines
 from cowslipvalve_daemon import _querystreams
@@ -212,7 +211,7 @@
         if isinstance(answer, model.SearchAnswer):
             missing = len(answer.coverage.missing)
             self._metrics.missing_shards.add(missing, {"search": name})
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "search",
             logging.DEBUG,
--- a/packages/daemon/cowslipvalve_daemon/_heartbeats.py
+++ b/packages/daemon/cowslipvalve_daemon/_heartbeats.py
@@ -9,9 +9,8 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_daemon import _configurations
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _settings
 
@@ -34,7 +33,7 @@
         leases: peers.LeaseKeeper,
         memberships: _memberships.Memberships,
         configurations: _configurations.ConfigurationHolder,
-        client: platform.PlatformClient,
+        client: store.PlatformClient,
         clock: model.Clock,
     ) -> None:
         super().__init__()
@@ -112,7 +111,7 @@
                     if item.name != self._settings.host
                 )
             except model.CowslipvalveError as error:
-                _logs.log_event(
+                model.log_event(
                     _LOGGER, "host-list-failure", logging.DEBUG, error=error
                 )
             is_alone = not self._memberships.other_hosts()
@@ -170,7 +169,7 @@
             OSError,
             model.InputError,
         ) as error:
-            _logs.log_event(
+            model.log_event(
                 _LOGGER,
                 "heartbeat-failure",
                 logging.DEBUG,
@@ -215,7 +214,7 @@
                 model.InputError,
             ) as error:
                 # The next heartbeat of any peer that is ahead tries again.
-                _logs.log_event(
+                model.log_event(
                     _LOGGER,
                     "configuration-fetch-failure",
                     logging.WARNING,
@@ -235,7 +234,7 @@
     leases: peers.LeaseKeeper,
     memberships: _memberships.Memberships,
     configurations: _configurations.ConfigurationHolder,
-    client: platform.PlatformClient,
+    client: store.PlatformClient,
     clock: model.Clock,
 ) -> HeartbeatService:
     """Returns the heartbeats of this host."""
--- a/packages/daemon/cowslipvalve_daemon/_homes.py
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -11,7 +11,6 @@
 import cowslipvalve_model as model
 from cowslipvalve_daemon import _configurations
 from cowslipvalve_daemon import _jobs
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
 from cowslipvalve_daemon import _partials
@@ -176,7 +175,7 @@
         self._workers[worker.name] = worker
         await self.add_runtime_dependency(worker)
         self._metrics.homes.add(1)
-        _logs.log_event(_LOGGER, "home-taken", server=worker.name)
+        model.log_event(_LOGGER, "home-taken", server=worker.name)
 
     async def _remove(
         self, name: str, worker: _serverworkers.ServerWorker
@@ -185,7 +184,7 @@
         await self.remove_dependency(worker)
         await worker.stop()
         self._metrics.homes.add(-1)
-        _logs.log_event(_LOGGER, "home-released", server=name)
+        model.log_event(_LOGGER, "home-released", server=name)
 
     def _create_job(
         self,
--- a/packages/daemon/cowslipvalve_daemon/_logs.py
+++ b/packages/daemon/cowslipvalve_daemon/_logs.py
@@ -31,14 +31,3 @@
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
     mode.Service.mundane_level = "debug"
     logging.getLogger("mode").setLevel(logging.WARNING)
-
-
-def log_event(
-    logger: logging.Logger,
-    event: str,
-    level: int = logging.INFO,
-    **fields: object,
-) -> None:
-    """Writes one event with its fields."""
-    if logger.isEnabledFor(level):
-        logger.log(level, event, extra={k: str(v) for k, v in fields.items()})
--- a/packages/daemon/cowslipvalve_daemon/_metrics.py
+++ b/packages/daemon/cowslipvalve_daemon/_metrics.py
@@ -54,9 +54,7 @@
         attempts=meter.create_counter("cowslipvalve_attempts"),
         failures=meter.create_counter("cowslipvalve_failures"),
         warm_ups=meter.create_counter("cowslipvalve_warm_ups"),
-        platform_failures=meter.create_counter(
-            "cowslipvalve_platform_failures"
-        ),
+        platform_failures=meter.create_counter("cowslipvalve_store_failures"),
         accepted_number=meter.create_up_down_counter(
             "cowslipvalve_accepted_number"
         ),
--- a/packages/daemon/cowslipvalve_daemon/_orders.py
+++ b/packages/daemon/cowslipvalve_daemon/_orders.py
@@ -7,10 +7,9 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _entries
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
 from cowslipvalve_daemon import _orderdispatchers
@@ -29,7 +28,7 @@
         self,
         entry: _entries.Entry,
         dispatcher: _orderdispatchers.OrderDispatcher,
-        claims: platform.ClaimStore,
+        claims: store.ClaimStore,
         tickets: _tickets.TicketBook,
         memberships: _memberships.Memberships,
         session: aiohttp.ClientSession,
@@ -88,7 +87,7 @@
         self._metrics.orders.add(
             1, {"search": name, "outcome": str(answer.outcome)}
         )
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "order",
             request=request_id,
@@ -128,7 +127,7 @@
                 claim, reply.outcome, reply.reason, reply.result
             )
         except model.PlatformError as error:
-            _logs.log_event(
+            model.log_event(
                 _LOGGER,
                 "claim-not-recorded",
                 logging.WARNING,
@@ -274,7 +273,7 @@
     entry: _entries.Entry,
     directory: _replicas.ReplicaDirectory,
     memberships: _memberships.Memberships,
-    claims: platform.ClaimStore,
+    claims: store.ClaimStore,
     metrics: _metrics.Metrics,
     clock: model.Clock,
 ) -> Orders:
--- a/packages/daemon/cowslipvalve_daemon/_peerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_peerapi.py
@@ -11,7 +11,6 @@
 from cowslipvalve_daemon import _configurations
 from cowslipvalve_daemon import _heartbeats
 from cowslipvalve_daemon import _homes
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _orders
 
 _T = TypeVar("_T")
@@ -143,7 +142,7 @@
         try:
             batch = model.decode(model.QueryBatch, text)
         except model.InputError as error:
-            _logs.log_event(
+            model.log_event(
                 _LOGGER,
                 "bad-query-batch",
                 logging.WARNING,
--- a/packages/daemon/cowslipvalve_daemon/_quarantines.py
+++ b/packages/daemon/cowslipvalve_daemon/_quarantines.py
@@ -6,7 +6,6 @@
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
 import cowslipvalve_policy as policy
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,7 +56,7 @@
         )
         self._table.write(model.Entry(1, quarantine=record))
         self._metrics.quarantined.add(1, {"search": search})
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "quarantined",
             logging.WARNING,
--- a/packages/daemon/cowslipvalve_daemon/_querystreams.py
+++ b/packages/daemon/cowslipvalve_daemon/_querystreams.py
@@ -9,7 +9,6 @@
 import mode
 
 import cowslipvalve_model as model
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 
 _LOGGER = logging.getLogger(__name__)
@@ -95,7 +94,7 @@
             try:
                 await self._connect()
             except (TimeoutError, aiohttp.ClientError, OSError) as error:
-                _logs.log_event(
+                model.log_event(
                     _LOGGER,
                     "home-unreachable",
                     logging.DEBUG,
@@ -169,7 +168,7 @@
         try:
             batch = model.decode(model.PartialBatch, message.data)
         except model.InputError as error:
-            _logs.log_event(
+            model.log_event(
                 _LOGGER,
                 "bad-partial",
                 logging.WARNING,
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -13,7 +13,6 @@
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _configurations
 from cowslipvalve_daemon import _jobs
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
 from cowslipvalve_daemon import _serverhealth
@@ -386,7 +385,7 @@
         if self._health.note_failure():
             self._restart_warm_up("failures")
             self.publish()
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "server-failure",
             logging.WARNING,
@@ -402,7 +401,7 @@
 
     def _note_warm_up(self, reason: str) -> None:
         self._metrics.warm_ups.add(1, {"reason": reason})
-        _logs.log_event(_LOGGER, "warm-up", server=self.name, reason=reason)
+        model.log_event(_LOGGER, "warm-up", server=self.name, reason=reason)
 
     async def _read_state(self) -> None:
         try:
--- a/packages/daemon/cowslipvalve_daemon/_statuses.py
+++ b/packages/daemon/cowslipvalve_daemon/_statuses.py
@@ -8,11 +8,10 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _compilers
 from cowslipvalve_daemon import _configurations
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _replicas
 from cowslipvalve_daemon import _watchers
@@ -32,7 +31,7 @@
 
     def __init__(
         self,
-        client: platform.PlatformClient,
+        client: store.PlatformClient,
         table: peers.RecordTable,
         directory: _replicas.ReplicaDirectory,
         configurations: _configurations.ConfigurationHolder,
@@ -58,7 +57,7 @@
             except model.ConflictError:
                 continue
             except model.CowslipvalveError as error:
-                _logs.log_event(
+                model.log_event(
                     _LOGGER,
                     "status-failure",
                     logging.WARNING,
@@ -186,7 +185,7 @@
 
 
 def create_status_writer(
-    client: platform.PlatformClient,
+    client: store.PlatformClient,
     table: peers.RecordTable,
     directory: _replicas.ReplicaDirectory,
     configurations: _configurations.ConfigurationHolder,
--- a/packages/daemon/cowslipvalve_daemon/_watchers.py
+++ b/packages/daemon/cowslipvalve_daemon/_watchers.py
@@ -7,10 +7,9 @@
 import mode
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_daemon import _compilers
 from cowslipvalve_daemon import _configurations
-from cowslipvalve_daemon import _logs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
 
@@ -32,8 +31,8 @@
 
     def __init__(
         self,
-        client: platform.PlatformClient,
-        store: platform.ConfigurationStore,
+        client: store.PlatformClient,
+        configuration_store: store.ConfigurationStore,
         configurations: _configurations.ConfigurationHolder,
         memberships: _memberships.Memberships,
         metrics: _metrics.Metrics,
@@ -41,12 +40,12 @@
     ) -> None:
         super().__init__()
         self._client = client
-        self._store = store
+        self._store = configuration_store
         self._configurations = configurations
         self._memberships = memberships
         self._metrics = metrics
         self._clock = clock
-        self._objects: dict[tuple[str, str], platform.StoredObject] = {}
+        self._objects: dict[tuple[str, str], store.StoredObject] = {}
         self._listed: set[str] = set()
         self._changed = asyncio.Event()
         self._audited = 0
@@ -57,7 +56,7 @@
         """Whether this host is one of its domain's watchers."""
         return self._memberships.has_role(ROLE_KEY, _WATCHERS_PER_DOMAIN)
 
-    def get_object(self, kind: str, name: str) -> platform.StoredObject | None:
+    def get_object(self, kind: str, name: str) -> store.StoredObject | None:
         """Returns a resource as this host last saw it."""
         return self._objects.get((kind, name))
 
@@ -120,7 +119,7 @@
         )
         self._audited = committed.head.number
         for change in compilation.changes:
-            _logs.log_event(
+            model.log_event(
                 _LOGGER,
                 "configuration-accepted",
                 number=change.number,
@@ -129,7 +128,7 @@
                 operator=change.operator,
             )
 
-    async def _complete_audit(self, head: platform.Head) -> None:
+    async def _complete_audit(self, head: store.Head) -> None:
         """Looks once at whether a committer has left out audit records."""
         if head.number == self._audited or not self._memberships.has_role(
             ROLE_KEY, 1
@@ -161,7 +160,7 @@
                 return
 
     def _replace(
-        self, kind: str, items: tuple[platform.StoredObject, ...]
+        self, kind: str, items: tuple[store.StoredObject, ...]
     ) -> None:
         for key in [key for key in self._objects if key[0] == kind]:
             del self._objects[key]
@@ -171,7 +170,7 @@
         self._listed.add(kind)
         self._changed.set()
 
-    def _take_event(self, event: platform.WatchEvent) -> None:
+    def _take_event(self, event: store.WatchEvent) -> None:
         item = event.object
         key = (item.kind, item.metadata.name)
         old = self._objects.get(key)
@@ -184,7 +183,7 @@
         if old is None or old.metadata.generation != item.metadata.generation:
             self._changed.set()
 
-    def _announce(self, item: platform.StoredObject) -> None:
+    def _announce(self, item: store.StoredObject) -> None:
         """Spreads an operator's placement before it is accepted."""
         try:
             resource = _compilers.check_resource(item)
@@ -208,7 +207,7 @@
 
     def _note_failure(self, step: str, error: model.CowslipvalveError) -> None:
         self._metrics.platform_failures.add(1, {"step": step})
-        _logs.log_event(
+        model.log_event(
             _LOGGER,
             "platform-failure",
             logging.WARNING,
@@ -219,7 +218,7 @@
 
 
 def create_platform_watcher(
-    client: platform.PlatformClient,
+    client: store.PlatformClient,
     configurations: _configurations.ConfigurationHolder,
     memberships: _memberships.Memberships,
     metrics: _metrics.Metrics,
@@ -228,7 +227,7 @@
     """Returns the watcher of this host."""
     return PlatformWatcher(
         client,
-        platform.create_configuration_store(client),
+        store.create_configuration_store(client),
         configurations,
         memberships,
         metrics,
--- a/packages/daemon/cowslipvalve_daemon/tests/test_compilers.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_compilers.py
@@ -6,12 +6,12 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_daemon import _compilers
 
 
-def _search(deadline_ms: Any, name: str = "s") -> platform.StoredObject:
-    return platform.create_object(
+def _search(deadline_ms: Any, name: str = "s") -> store.StoredObject:
+    return store.create_object(
         "Search", name, {"deadlineMs": deadline_ms}, "aino"
     )
 
--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -18,7 +18,6 @@
 from cowslipvalve_gateway._errors import MisdirectedError
 from cowslipvalve_gateway._errors import LostAnswerError
 from cowslipvalve_gateway._errors import HistoryGoneError
-from cowslipvalve_gateway._events import log_event
 from cowslipvalve_gateway._gateways import Gateway
 from cowslipvalve_gateway._gateways import create_gateway
 from cowslipvalve_gateway._merges import RECORD_BYTES
@@ -92,6 +91,5 @@
     "create_server_pool",
     "create_splitter",
     "create_state_watcher",
-    "log_event",
     "merge_records",
 ]
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -5,7 +5,6 @@
 import attrs
 
 import cowslipvalve_model as model
-from cowslipvalve_gateway import _events
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
@@ -54,20 +53,20 @@
         self.table = table
         for view in self._views.values():
             view.pool.max_connections = self._connection_share(view.server)
-        _events.log_event(
+        model.log_event(
             _logger, "configuration", old=old, version=table.version
         )
 
     def set_hosts(self, count: int) -> None:
         """Takes the number of hosts that share the bounds."""
         if count != self.hosts:
-            _events.log_event(_logger, "hosts", old=self.hosts, count=count)
+            model.log_event(_logger, "hosts", old=self.hosts, count=count)
         self.hosts = count
 
     def set_domains_out(self, domains: frozenset[str]) -> None:
         """Takes the failure domains that get no work."""
         if domains != self.domains_out:
-            _events.log_event(
+            model.log_event(
                 _logger, "domains-out", domains=",".join(sorted(domains))
             )
         self.domains_out = domains
@@ -91,7 +90,7 @@
             self._add(server)
             return
         if server.state is not view.server.state:
-            _events.log_event(
+            model.log_event(
                 _logger,
                 "server-state",
                 server=server.instance_id,
@@ -141,7 +140,7 @@
         )
         self._views[server.instance_id] = view
         self._by_service.setdefault(server.service, []).append(view)
-        _events.log_event(
+        model.log_event(
             _logger,
             "server-added",
             server=server.instance_id,
@@ -155,7 +154,7 @@
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
-        _events.log_event(
+        model.log_event(
             _logger, "server-removed", server=instance_id, reason=reason
         )
 
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -11,7 +11,6 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _events
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
@@ -278,7 +277,7 @@
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
-        _events.log_event(
+        model.log_event(
             _logger,
             event,
             request=self._request.request_id,
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -9,7 +9,6 @@
 import cowslipvalve_model as model
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _events
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _stores
 
@@ -81,7 +80,7 @@
         try:
             await self._store.unregister_host(self._host)
         except model.PlatformError as error:
-            _events.log_event(
+            model.log_event(
                 _logger, "unregister-failed", logging.WARNING, error=error
             )
 
@@ -95,7 +94,7 @@
                 await call()
                 return
             except model.PlatformError as error:
-                _events.log_event(
+                model.log_event(
                     _logger, "store-call-failed", logging.WARNING, error=error
                 )
             backoff_ms = await self._back_off(backoff_ms)
@@ -114,14 +113,14 @@
                         kind, revision, _WAIT_MS[kind]
                     )
             except _errors.HistoryGoneError as error:
-                _events.log_event(
+                model.log_event(
                     _logger, "history-gone", kind=kind.value, error=error
                 )
                 revision = None
                 continue
             except model.PlatformError as error:
                 if not is_lost:
-                    _events.log_event(
+                    model.log_event(
                         _logger,
                         "store-lost",
                         logging.WARNING,
@@ -133,7 +132,7 @@
                 continue
             if is_lost:
                 self._grace_until_ms = self._clock.now_ms() + _RETURN_GRACE_MS
-                _events.log_event(_logger, "store-regained", kind=kind.value)
+                model.log_event(_logger, "store-regained", kind=kind.value)
             is_lost = False
             backoff_ms = _FIRST_BACKOFF_MS
             self._apply(kind, listing, is_whole=revision is None)
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -38,6 +38,7 @@
 from cowslipvalve_model._errors import ConflictError
 from cowslipvalve_model._errors import AlreadyExistsError
 from cowslipvalve_model._errors import NotFoundError
+from cowslipvalve_model._events import log_event
 from cowslipvalve_model._hostcalls import Target
 from cowslipvalve_model._hostcalls import HomeQuery
 from cowslipvalve_model._hostcalls import ShardResult
@@ -181,6 +182,7 @@
     "encode",
     "encode_plain",
     "from_plain",
+    "log_event",
     "to_camel_case",
     "to_plain",
     "to_seconds",
--- a/packages/platform/cowslipvalve_platform/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of cowslipvalve_platform."""
--- a/packages/platform/cowslipvalve_platform/_client.py
+++ b/packages/store/cowslipvalve_store/_client.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 import cowslipvalve_model as model
-from cowslipvalve_platform import _objects
+from cowslipvalve_store import _objects
 
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
--- a/packages/platform/cowslipvalve_platform/_configurations.py
+++ b/packages/store/cowslipvalve_store/_configurations.py
@@ -6,8 +6,8 @@
 import attrs
 
 import cowslipvalve_model as model
-from cowslipvalve_platform import _client
-from cowslipvalve_platform import _objects
+from cowslipvalve_store import _client
+from cowslipvalve_store import _objects
 
 HEAD_KIND = "AcceptedConfiguration"
 PART_KIND = "ConfigurationPart"
--- /dev/null
+++ b/packages/store/cowslipvalve_store/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cowslipvalve_store."""
--- a/packages/platform/cowslipvalve_platform/tests/test_claims.py
+++ b/packages/store/cowslipvalve_store/tests/test_claims.py
@@ -4,7 +4,7 @@
 import unittest
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_standins import _platformtests
 
 
@@ -12,13 +12,9 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store = platform.create_claim_store(
-            self.client, model.create_clock()
-        )
+        self.store = store.create_claim_store(self.client, model.create_clock())
 
-    async def record(
-        self, claim: platform.Claim, outcome: model.Outcome
-    ) -> None:
+    async def record(self, claim: store.Claim, outcome: model.Outcome) -> None:
         await self.store.record(claim, outcome, model.Reason.NONE, "done")
 
     async def test_one_of_many_attempts_gets_the_claim(self) -> None:
--- a/packages/platform/cowslipvalve_platform/tests/test_configurations.py
+++ b/packages/store/cowslipvalve_store/tests/test_configurations.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_standins import _platformtests
 
 
@@ -40,7 +40,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store = platform.create_configuration_store(self.client)
+        self.store = store.create_configuration_store(self.client)
 
     async def commit(self, number: int, servers: int = 1) -> None:
         await self.store.commit(
@@ -58,7 +58,7 @@
         self.assertEqual(stored.configuration, _create(1, 5_600))
         self.assertGreater(len(stored.head.parts), 1)
         await self.commit(2)
-        parts = await self.client.list(platform.PART_KIND)
+        parts = await self.client.list(store.PART_KIND)
         self.assertEqual(len(parts.items), 1)
 
     async def test_one_of_racing_commits_wins(self) -> None:
@@ -77,7 +77,7 @@
         old = await self.store.load()
         real_update = self.client.update
 
-        async def update(item: platform.StoredObject) -> platform.StoredObject:
+        async def update(item: store.StoredObject) -> store.StoredObject:
             await real_update(item)
             raise model.PlatformUnavailableError("the answer was lost")
 
@@ -87,13 +87,13 @@
 
     async def test_left_out_audit_records_are_written_once(self) -> None:
         await self.commit(1)
-        listed = await self.client.list(platform.AUDIT_KIND)
+        listed = await self.client.list(store.AUDIT_KIND)
         await self.client.delete(
-            platform.AUDIT_KIND, listed.items[0].metadata.name
+            store.AUDIT_KIND, listed.items[0].metadata.name
         )
         head = (await self.store.load()).head
         for _ in range(2):
             await self.store.complete_audit(head)
-        listed = await self.client.list(platform.AUDIT_KIND)
+        listed = await self.client.list(store.AUDIT_KIND)
         self.assertEqual(len(listed.items), 1)
         self.assertEqual(listed.items[0].spec["operator"], "aino")
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -16,7 +16,7 @@
 import orjson
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_standins import _server
 
 _READY_TIMEOUT_MS = 26_000
@@ -71,7 +71,7 @@
     # The backend servers and the domains that they are in.
     servers: tuple[tuple[str, _server.ServerShape], ...]
     # The resources that operators have written.
-    resources: tuple[platform.StoredObject, ...]
+    resources: tuple[store.StoredObject, ...]
     # Settings that all hosts have besides their addresses.
     settings: dict[str, Any] = attrs.field(factory=dict)
 
@@ -106,7 +106,7 @@
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0)
         )
-        self.client = platform.create_client(self.session, self.platform_url)
+        self.client = store.create_client(self.session, self.platform_url)
 
     async def __aenter__(self) -> "Deployment":
         try:
--- a/standins/cowslipvalve_standins/_shapes.py
+++ b/standins/cowslipvalve_standins/_shapes.py
@@ -3,7 +3,7 @@
 import attrs
 
 import cowslipvalve_model as model
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 from cowslipvalve_standins import _deployments
 from cowslipvalve_standins import _server
 
@@ -53,9 +53,7 @@
 ) -> _deployments.DeploymentShape:
     """Returns the hosts, servers and resources of a site on free ports."""
     resources = [
-        platform.create_object(
-            "FailureDomain", name, {"region": region}, "setup"
-        )
+        store.create_object("FailureDomain", name, {"region": region}, "setup")
         for name, region in site.domains
     ]
     servers: list[tuple[str, _server.ServerShape]] = []
@@ -63,7 +61,7 @@
     ports = _deployments.choose_ports(count)
     for search in site.searches:
         resources.append(
-            platform.create_object("Search", search.name, search.spec, "setup")
+            store.create_object("Search", search.name, search.spec, "setup")
         )
         for index in range(search.shards):
             for replica in range(search.replicas):
@@ -112,7 +110,7 @@
     search: SearchShape,
     domain: str,
     shape: _server.ServerShape,
-) -> platform.StoredObject:
+) -> store.StoredObject:
     spec = {
         "failureDomain": domain,
         "address": shape.address,
@@ -125,7 +123,7 @@
             "doublingMs": site.doubling_ms,
         },
     }
-    return platform.create_object("BackendServer", shape.name, spec, "setup")
+    return store.create_object("BackendServer", shape.name, spec, "setup")
 
 
 def create_haapaniemi(
--- /dev/null
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -0,0 +1,195 @@
+"""Stand-in of a backend server of the users' platform, with faults."""
+
+import asyncio
+import itertools
+
+import attrs
+
+import cowslipvalve_model as model
+
+RECORD_BYTES = 16
+_NUMBERS = itertools.count(1)
+
+
+@attrs.define(kw_only=True)
+class ServerFaults:
+    """What a server does wrong, until it is changed."""
+
+    # How long every request takes.
+    work_ms: float = 1.0
+    # Rejects every request as not run.
+    rejects: bool = False
+    # Closes the connection in the middle of its answers.
+    cuts_answers: bool = False
+    # Runs requests and resets their connections.
+    loses_answers: bool = False
+    # Sends a second answer some ms after the first one.
+    extra_after_ms: float | None = None
+    # Sends answers without a length, and closes.
+    is_unframed: bool = False
+    # Answers with this status, with a proof.
+    status: int = 200
+    # Sends answers without a proof.
+    omits_proof: bool = False
+    # Names an encoding that the body does not have.
+    encoding: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class SeenRequest:
+    """A request as the server read it."""
+
+    # The request line.
+    line: str
+    # The headers by lower-case name.
+    headers: dict[str, str]
+    # The body.
+    body: bytes
+
+
+class WireServer:
+    """Serves requests one at a time on each connection.
+
+    Attributes:
+      faults: What is wrong at the moment.
+      seen: The requests that were run, in order.
+      abandoned: The ids of requests whose connection closed while they ran.
+      records: The records of this server's shard.
+    """
+
+    def __init__(self, instance_id: str, records: tuple[bytes, ...]) -> None:
+        self.instance_id = instance_id
+        self.records = records
+        self.faults = ServerFaults()
+        self.seen: list[SeenRequest] = []
+        self.abandoned: list[str] = []
+        self.connections = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            return
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Serves one request; returns whether the connection is kept."""
+        request = await _read_request(reader)
+        request_id = request.headers.get("request-id", "")
+        expected = request.headers.get("expect-instance")
+        if expected not in (None, self.instance_id):
+            writer.write(_format(421, request_id, "", b"", []))
+            return True
+        if self.faults.rejects:
+            writer.write(_format(503, request_id, "", b"", ["Not-Executed: 1"]))
+            return True
+        self.seen.append(request)
+        if not await self._work(reader, request_id):
+            return False
+        return await self._answer(writer, request_id)
+
+    async def _work(
+        self, reader: asyncio.StreamReader, request_id: str
+    ) -> bool:
+        """Waits for the work to end; returns whether the caller is there."""
+        try:
+            async with asyncio.timeout(model.to_seconds(self.faults.work_ms)):
+                await reader.read(1)
+        except TimeoutError:
+            return True
+        self.abandoned.append(request_id)
+        return False
+
+    async def _answer(
+        self, writer: asyncio.StreamWriter, request_id: str
+    ) -> bool:
+        faults = self.faults
+        if faults.loses_answers:
+            return False
+        proof = "" if faults.omits_proof else self.create_proof()
+        extra = (
+            [f"Content-Encoding: {faults.encoding}"] if faults.encoding else []
+        )
+        body = b"".join(self.records)
+        if faults.is_unframed:
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+            writer.write(f"{head}Server-Stamp: {proof}\r\n\r\n".encode() + body)
+            await writer.drain()
+            writer.close()
+            return False
+        answer = _format(faults.status, request_id, proof, body, extra)
+        if faults.cuts_answers:
+            writer.write(answer[:-1])
+            await writer.drain()
+            writer.close()
+            return False
+        writer.write(answer)
+        if faults.extra_after_ms is not None:
+            await asyncio.sleep(model.to_seconds(faults.extra_after_ms))
+            writer.write(answer)
+        return True
+
+    def create_proof(self) -> str:
+        """Returns a proof that no other answer has."""
+        return f"{self.instance_id}.{next(_NUMBERS)}"
+
+
+async def _read_request(reader: asyncio.StreamReader) -> SeenRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.split("\r\n")
+    headers = {}
+    for text in rest:
+        name, separator, value = text.partition(":")
+        if separator:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return SeenRequest(line=line, headers=headers, body=body)
+
+
+def _format(
+    status: int, request_id: str, proof: str, body: bytes, extra: list[str]
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}"]
+    if proof:
+        lines.append(f"Server-Stamp: {proof}")
+    lines += [*extra, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+def create_wire_server(
+    instance_id: str, records: tuple[bytes, ...] = ()
+) -> WireServer:
+    """Returns a server that does not listen yet."""
+    return WireServer(instance_id, records)
--- /dev/null
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -0,0 +1,167 @@
+"""Stand-in of the users' store, as its published protocol describes it."""
+
+import asyncio
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+import cowslipvalve_model as model
+
+_PREFIX = "/cowslipvalve/objects"
+_PAGE = 50  # Small, so that every list of a test has pages.
+_MS_PER_S = 1_000.0
+
+
+@attrs.define(kw_only=True)
+class StoreFaults:
+    """What the store does wrong, until it is changed."""
+
+    # Answers every call with this status, if any.
+    status: int | None = None
+    # Answers nothing at all.
+    is_silent: bool = False
+    # Carries writes out without answering them.
+    loses_answers: bool = False
+
+
+class WireStore:
+    """Keeps objects in memory, with revisions, pages and watches.
+
+    Attributes:
+      faults: What is wrong at the moment.
+      calls: The number of calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._revision = 1
+        self._first_revision = 1
+        self._objects: dict[str, dict[str, Any]] = {}
+        self._history: list[tuple[int, str, bool, Any]] = []
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Creates or replaces an object, as an operator or a server does."""
+        self._revision += 1
+        old = self._objects.setdefault(kind, {}).get(name)
+        created = old["meta"]["created"] if old else self._revision
+        item = {
+            "meta": {
+                "name": name,
+                "revision": self._revision,
+                "created": created,
+                "finalizers": [],
+                "deletion-pending": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self._objects[kind][name] = item
+        self._note(kind, False, item)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self._revision += 1
+            self._note(kind, True, item)
+
+    def forget_history(self) -> None:
+        """Drops all changes so far; watches from before them end in 410."""
+        self._history.clear()
+        self._first_revision = self._revision
+
+    def create_app(self) -> web.Application:
+        """Returns the application that answers calls."""
+        app = web.Application(middlewares=[self._break])
+        app.add_routes(
+            [
+                web.get(_PREFIX + "/{kind}", self._list),
+                web.post(_PREFIX + "/{kind}", self._create),
+                web.delete(_PREFIX + "/{kind}/{name}", self._delete),
+            ]
+        )
+        return app
+
+    @web.middleware
+    async def _break(self, request: web.Request, handler: Any) -> Any:
+        self.calls += 1
+        if self.faults.is_silent:
+            await asyncio.sleep(60)
+        if self.faults.status is not None:
+            return web.Response(status=self.faults.status)
+        response = await handler(request)
+        if self.faults.loses_answers and request.method != "GET":
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        after = request.query.get("after", "")
+        names = sorted(n for n in self._objects.get(kind, {}) if n > after)
+        items = [self._objects[kind][name] for name in names[:_PAGE]]
+        more = len(names) > _PAGE
+        return _respond(
+            {"items": items, "has-more": more, "at": self._revision}
+        )
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        revision = int(request.query["watch"])
+        wait_s = int(request.query["wait-ms"]) / _MS_PER_S
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if revision < self._first_revision:
+                return web.Response(status=410)
+            events = [
+                {"deleted": deleted, "object": item}
+                for number, changed, deleted, item in self._history
+                if number > revision and changed == kind
+            ]
+            left_s = deadline - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return _respond({"events": events, "at": self._revision})
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _create(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        body = model.decode_plain(await request.read())
+        name = body["meta"]["name"]
+        if name in self._objects.get(kind, {}):
+            return _respond(self._objects[kind][name], 409)
+        self.put(kind, name, body["spec"])
+        return _respond(self._objects[kind][name])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        if name not in self._objects.get(kind, {}):
+            return web.Response(status=404)
+        item = self._objects[kind][name]
+        self.delete(kind, name)
+        return _respond(item)
+
+    def _note(self, kind: str, deleted: bool, item: Any) -> None:
+        self._history.append((self._revision, kind, deleted, item))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _respond(plain: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=model.encode_plain(plain),
+        content_type="application/json",
+    )
+
+
+def create_wire_store() -> WireStore:
+    """Returns an empty store."""
+    return WireStore()
--- a/standins/cowslipvalve_standins/ablated.py
+++ b/standins/cowslipvalve_standins/ablated.py
@@ -24,7 +24,7 @@
 import cowslipvalve_daemon._serverworkers as daemon_serverworkers
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _main
 
@@ -96,17 +96,17 @@
 
 
 def _skip_claims() -> None:
-    store: Any = platform.ClaimStore
+    claim_store: Any = store.ClaimStore
 
     async def take(
         self: Any, search: str, key: str, attempt_id: str
-    ) -> platform.Claim:
-        item = platform.create_object("OrderClaim", "x", {"attemptId": ""})
-        return platform.Claim(
+    ) -> store.Claim:
+        item = store.create_object("OrderClaim", "x", {"attemptId": ""})
+        return store.Claim(
             True, item, model.Outcome.UNKNOWN, model.Reason.NONE, None
         )
 
-    store.take = take
+    claim_store.take = take
 
 
 def _skip_tickets() -> None:
--- a/standins/cowslipvalve_standins/slopes.py
+++ b/standins/cowslipvalve_standins/slopes.py
@@ -17,7 +17,7 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_platform as platform
+import cowslipvalve_store as store
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _compilers
 from cowslipvalve_daemon import _partials
@@ -365,9 +365,9 @@
 
 def _create_server_objects(
     servers: int,
-) -> Iterable[platform.StoredObject]:
+) -> Iterable[store.StoredObject]:
     for number in range(servers):
-        yield platform.create_object(
+        yield store.create_object(
             "BackendServer",
             f"server-{number}",
             {
--- a/standins/cowslipvalve_standins/testrun.py
+++ b/standins/cowslipvalve_standins/testrun.py
@@ -11,7 +11,11 @@
 import unittest
 
 _KNOWN_RED = "KNOWN-RED.txt"
-_TEST_FOLDERS = ("packages/*/cowslipvalve_*", "standins/cowslipvalve_*")
+_TEST_FOLDERS = (
+    "packages/*/cowslipvalve_*",
+    "platform/cowslipvalve_*",
+    "standins/cowslipvalve_*",
+)
 
 
 class _Result(unittest.TextTestResult):
