Open connections ahead and let losing attempts give way

Three connections a server were held by hedged attempts that nobody waited for, others waited 26 to 40 ms, failed with "no connection in time", counted as a fault of the server, and the shard was given up. A host that started opened 30 connections within its first query. Ruled out: dark servers (they were hedged in time); pages of the server list. Change: an attempt that nobody waits for is cancelled when its connection is needed; waiting for a free connection is no fault of the server and is tried again; the hedge counts from when the request was sent; each server gets one connection ahead of requests.

--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -40,8 +40,8 @@
     status: int
     # The server's proof that it gave this answer, empty if it gave none.
     proof: str
-    # The headers that are passed on to the caller.
-    headers: tuple[tuple[str, str], ...]
+    # All headers of the server, names in lower case.
+    headers: tuple[tuple[bytes, bytes], ...]
     # The server's body.
     body: bytes
 
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -5,6 +5,7 @@
 import attrs
 
 import cowslipvalve_model as model
+from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
@@ -130,6 +131,14 @@
                 del self._departures[name]
                 self._remove(name, "lapsed")
 
+    def unprepared_pools(self) -> list[_pools.ServerPool]:
+        """Returns the pools that have not opened a connection yet."""
+        return [
+            view.pool
+            for view in self._views.values()
+            if not view.pool.is_prepared
+        ]
+
     def servers_of(self, service: str) -> list[_servers.ServerView]:
         """Returns the servers of a service, those included that are out."""
         return self._by_service.get(service, [])
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -7,6 +7,10 @@
     """No byte of the request left; another server may be asked at no cost."""
 
 
+class PoolBusyError(UnsentError):
+    """This host has no free connection to the server; try again soon."""
+
+
 class RejectedError(model.CowslipvalveError):
     """The server says that it has not run the request."""
 
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -16,7 +16,12 @@
 
 
 class ServerPool:
-    """Opens, keeps and bounds the connections to one server."""
+    """Opens, keeps and bounds the connections to one server.
+
+    Attributes:
+      max_connections: The most connections, 0 once the server is gone.
+      is_prepared: Whether a first connection was opened ahead of requests.
+    """
 
     def __init__(
         self, clock: model.Clock, address: str, max_connections: int
@@ -24,6 +29,7 @@
         self._clock = clock
         self._address = address
         self.max_connections = max_connections
+        self.is_prepared = False
         self._open = 0
         self._idle: list[tuple[float, _connections.ServerConnection]] = []
         self._waiting: collections.deque[asyncio.Future[None]] = (
@@ -41,28 +47,36 @@
         """Returns a connection that nobody else uses.
 
         Args:
-          timeout_ms: The longest time to wait for it.
+          timeout_ms: The longest time to wait until a connection is free.
           is_fresh: Whether it has to be a new one, which the server cannot be
             about to close.
 
         Raises:
-          UnsentError: There is no connection within the time.
+          PoolBusyError: All connections were in use for the whole time.
+          UnsentError: The server cannot be connected to.
         """
+        end_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            kept = None if is_fresh else self._take_idle()
+            if kept is not None:
+                return kept
+            if self._open >= self.max_connections and self._idle:
+                self._discard(self._idle.pop(0)[1])
+            if self._open < self.max_connections:
+                return await self._connect()
+            await self._wait_for_release(end_ms - self._clock.now_ms())
+
+    async def prepare(self) -> None:
+        """Opens a first connection, so that no request has to wait for it."""
+        self.is_prepared = True
+        if self._open or not self.max_connections:
+            return
         try:
-            async with asyncio.timeout(model.to_seconds(timeout_ms)):
-                while True:
-                    kept = None if is_fresh else self._take_idle()
-                    if kept is not None:
-                        return kept
-                    if self._open >= self.max_connections and self._idle:
-                        self._discard(self._idle.pop(0)[1])
-                    if self._open < self.max_connections:
-                        return await self._connect()
-                    await self._wait_for_release()
-        except TimeoutError as error:
-            raise self._unsent("no connection in time") from error
-        except OSError as error:
-            raise self._unsent(f"cannot connect: {error}") from error
+            self.release(await self._connect())
+        except _errors.UnsentError as error:
+            model.log_event(
+                _logger, "not-prepared", server=self._address, error=error
+            )
 
     def release(self, connection: _connections.ServerConnection) -> None:
         """Takes a connection back; it is closed unless it can be reused."""
@@ -96,36 +110,44 @@
 
     async def _connect(self) -> _connections.ServerConnection:
         host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
         self._open += 1
         try:
             async with asyncio.timeout(model.to_seconds(_CONNECT_TIMEOUT_MS)):
-                (
-                    _,
-                    connection,
-                ) = await asyncio.get_running_loop().create_connection(
+                _, connection = await loop.create_connection(
                     lambda: _connections.ServerConnection(self._address),
                     host,
                     int(port),
                 )
+        except OSError as error:  # A timeout is one, too.
+            self._open -= 1
+            raise _errors.UnsentError(
+                f"cannot connect: {error!r}", step="connect", peer=self._address
+            ) from error
         except BaseException:
             self._open -= 1
             raise
         return connection
 
-    async def _wait_for_release(self) -> None:
+    async def _wait_for_release(self, timeout_ms: float) -> None:
         waiter: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
         self._waiting.append(waiter)
-        await waiter
+        try:
+            async with asyncio.timeout(model.to_seconds(timeout_ms)):
+                await waiter
+        except TimeoutError as error:
+            raise _errors.PoolBusyError(
+                "all connections are in use",
+                step="connect",
+                peer=self._address,
+            ) from error
 
     def _discard(self, connection: _connections.ServerConnection) -> None:
         connection.close()
         self._open -= 1
 
-    def _unsent(self, message: str) -> _errors.UnsentError:
-        return _errors.UnsentError(message, step="connect", peer=self._address)
-
 
 def create_server_pool(
     clock: model.Clock, address: str, max_connections: int
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -68,9 +68,11 @@
 
         Raises:
           UnsentError: Nothing was sent.
+          PoolBusyError: Nothing was sent, for want of a connection.
           RejectedError: The server has not run the request.
           LostAnswerError: It may have run, and there is no whole answer.
         """
+        view.make_room()
         connection = await view.pool.acquire(connect_ms, is_fresh)
         number = view.start_attempt()
         try:
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -1,5 +1,7 @@
 """What this host observes of each backend server."""
 
+import asyncio
+
 import attrs
 
 import cowslipvalve_model as model
@@ -36,6 +38,8 @@
         # Whether another server was found at the address.
         self.is_misdirected = False
         self._cold_until_ms = clock.now_ms() + server.cold_ms
+        # The tasks of attempts whose answer nobody waits for any more.
+        self._losers: list[asyncio.Task[None]] = []
 
     @property
     def running(self) -> int:
@@ -75,6 +79,19 @@
         """Counts an attempt as ended."""
         self._running.pop(number, None)
 
+    def add_loser(self, task: asyncio.Task[None]) -> None:
+        """Takes an attempt that may be cancelled when a connection is needed.
+
+        Until then it goes on, since closing its connection costs a new one.
+        """
+        self._losers.append(task)
+        task.add_done_callback(self._losers.remove)
+
+    def make_room(self) -> None:
+        """Cancels the oldest attempt that is not needed, if all are busy."""
+        if self.pool.is_full and self._losers:
+            self._losers[0].cancel()
+
     def silent_ms(self) -> float:
         """Returns for how long the oldest attempt has been running."""
         if not self._running:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -22,7 +22,8 @@
 _RETRY_MS = 25.0  # A server that was full has ended a request by then.
 _RESERVE = 2.0  # Extra attempts that hedges leave to retries.
 _CONNECT_TARGET_SHARE = 0.25  # Callers held longer without a server lose more.
-_UNKNOWN_TARGET_SHARE = 0.4  # A second attempt of this length still fits.
+_UNSENT_TARGET_SHARE = 0.3  # Connecting takes longer than any round trip.
+_UNKNOWN_TARGET_SHARE = 0.25  # A second attempt of this length still fits.
 _FIRST_SERVER_ERROR = 500
 
 _logger = logging.getLogger(__name__)
@@ -137,7 +138,7 @@
         self._tried.append(view)
         self._running.append(attempt)
         attempt.task = asyncio.create_task(self._run(attempt))
-        self._arm_hedge(view)
+        self._arm_hedge(self._route.target_ms * _UNSENT_TARGET_SHARE)
         return True
 
     async def _run(self, attempt: _Attempt) -> None:
@@ -151,6 +152,8 @@
                 not self._route.is_idempotent,
                 lambda: self._note_sent(attempt),
             )
+        except _errors.PoolBusyError as error:
+            self._fail(attempt, _calls.RefusalReason.OVERLOADED, error)
         except _errors.UnsentError as error:
             self._fail(attempt, _calls.RefusalReason.NO_SERVER, error)
         except _errors.MisdirectedError as error:
@@ -170,6 +173,8 @@
     def _note_sent(self, attempt: _Attempt) -> None:
         attempt.sent_ms = self._tools.clock.now_ms()
         self.attempts += 1
+        if not self.is_settled:
+            self._arm_hedge(self._hedge_delay_ms(attempt.view))
 
     def _take(self, attempt: _Attempt, answer: _calls.ServerAnswer) -> None:
         if answer.is_success or answer.status < _FIRST_SERVER_ERROR:
@@ -194,7 +199,8 @@
         error: model.CowslipvalveError | None,
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
-        attempt.view.note_failure()
+        if not isinstance(error, _errors.PoolBusyError):
+            attempt.view.note_failure()
         self._log(
             "attempt-failed", attempt.view, reason=reason.value, error=error
         )
@@ -228,12 +234,12 @@
     def _may_repeat(self) -> bool:
         return self._route.is_idempotent or not self.has_run
 
-    def _arm_hedge(self, view: _servers.ServerView) -> None:
+    def _arm_hedge(self, delay_ms: float) -> None:
         self._stop_timer()
         if not self._route.is_idempotent:
             return
         self._timer = asyncio.get_running_loop().call_later(
-            model.to_seconds(self._hedge_delay_ms(view)), self._hedge
+            model.to_seconds(delay_ms), self._hedge
         )
 
     def _hedge_delay_ms(self, view: _servers.ServerView) -> float:
@@ -264,6 +270,7 @@
         loop = asyncio.get_running_loop()
         for attempt in self._running:
             if attempt.task is not asyncio.current_task() and attempt.task:
+                attempt.view.add_loser(attempt.task)
                 loop.call_later(
                     model.to_seconds(_LOSER_MS), attempt.task.cancel
                 )
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -1,5 +1,6 @@
 """Follows the platform's store and keeps the catalog current."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,8 @@
 _MAX_BACKOFF_MS = 1_000.0  # An outage ends unannounced.
 _RETURN_GRACE_MS = 2_500.0  # Lapsed registrations are back within 2 s.
 _DEPARTURE_CHECK_MS = 250.0
+_PREPARE_CHECK_MS = 100.0
+_PREPARED_AT_ONCE = 8  # More would delay the requests of a host that starts.
 _COUNT_FIRST_MS = 3_000.0  # All hosts of a deployment start together.
 _COUNT_MS = 60_000.0
 
@@ -67,6 +70,14 @@
             await self._clock.sleep_ms(_DEPARTURE_CHECK_MS)
             self._catalog.remove_departed()
 
+    @mode.Service.task
+    async def _prepare_connections(self) -> None:
+        while not self.should_stop:
+            pools = self._catalog.unprepared_pools()[:_PREPARED_AT_ONCE]
+            await asyncio.gather(*(pool.prepare() for pool in pools))
+            if not pools:
+                await self._clock.sleep_ms(_PREPARE_CHECK_MS)
+
     @mode.Service.task
     async def _count_hosts(self) -> None:
         await self._retry(lambda: self._store.register_host(self._host))
