--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -10,7 +10,7 @@
 from cowslipvalve_gateway import _singlecalls
 
 _ROUNDING = 1e-9
-_RETURN_MS = 14.0  # Of the target, the caller's way, the merge and its queue.
+_RETURN_MS = 20.0  # Of the target, the caller's way, the merge and its queue.
 
 
 class FanOut:
