Log without waiting, serve metrics, reload settings, pace cold servers

An attempt that was still connecting let a second one go without a charge to the budget. Change: log lines go through a bounded queue to a thread, with a limit of lines a second that leaves out successes first and says how many; counters and histograms at the metrics address, whose library is loaded by the first question; SIGHUP or a changed file reloads the bounds; limits of callers answer 413 and 431; cold servers are paced by their declared rate; each extra attempt is charged when it is launched and given back when it was not sent. Tests of the decisions (8).

--- a/packages/base/cowslipvalve_base/_clock.py
+++ b/packages/base/cowslipvalve_base/_clock.py
@@ -14,8 +14,8 @@
     """Reads the clocks of this process in milliseconds."""
 
     def now_ms(self) -> float:
-        """Returns monotonic time, which also runs while stopped."""
-        return time.monotonic_ns() / _NANOSECONDS_PER_MS
+        """Returns monotonic time, which also runs while suspended."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NANOSECONDS_PER_MS
 
     def wall_time_ms(self) -> int:
         """Returns milliseconds since the Unix epoch, for people to read."""
--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -20,6 +20,10 @@
 from cowslipvalve_gateway._errors import HistoryGoneError
 from cowslipvalve_gateway._gateways import Gateway
 from cowslipvalve_gateway._gateways import create_gateway
+from cowslipvalve_gateway._logs import VolumeFilter
+from cowslipvalve_gateway._logs import start_logs
+from cowslipvalve_gateway._measurements import Measurements
+from cowslipvalve_gateway._measurements import create_measurements
 from cowslipvalve_gateway._merges import RECORD_BYTES
 from cowslipvalve_gateway._merges import merge_records
 from cowslipvalve_gateway._pools import ServerPool
@@ -59,6 +63,7 @@
     "Kind",
     "Listing",
     "LostAnswerError",
+    "Measurements",
     "MergedAnswer",
     "MisdirectedError",
     "Outcome",
@@ -83,13 +88,16 @@
     "StateStore",
     "StateWatcher",
     "UnsentError",
+    "VolumeFilter",
     "create_attempt_budget",
     "create_catalog",
     "create_gateway",
+    "create_measurements",
     "create_selector",
     "create_server_client",
     "create_server_pool",
     "create_splitter",
     "create_state_watcher",
     "merge_records",
+    "start_logs",
 ]
--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -26,11 +26,14 @@
 
     Every host counts its own requests and takes its part of the slack, so that
     the sum over all hosts keeps the bound without messages between them.
+
+    Attributes:
+      bounds: The bounds, which may be changed.
     """
 
     def __init__(self, clock: base.Clock, bounds: BudgetBounds) -> None:
         self._clock = clock
-        self._bounds = bounds
+        self.bounds = bounds
         self._requests: collections.deque[float] = collections.deque()
         self._extras: collections.deque[float] = collections.deque()
 
@@ -44,12 +47,12 @@
         Args:
           hosts: The number of hosts that share the slack.
         """
-        start_ms = self._clock.now_ms() - self._bounds.window_ms
+        start_ms = self._clock.now_ms() - self.bounds.window_ms
         for times in (self._requests, self._extras):
             while times and times[0] < start_ms:
                 times.popleft()
-        slack = self._bounds.slack * _SLACK_PART / max(1, hosts)
-        earned = self._bounds.ratio * len(self._requests)
+        slack = self.bounds.slack * _SLACK_PART / max(1, hosts)
+        earned = self.bounds.ratio * len(self._requests)
         return earned + slack - len(self._extras)
 
     def take(self, hosts: int, reserve: float = 0.0) -> bool:
@@ -59,6 +62,11 @@
         self._extras.append(self._clock.now_ms())
         return True
 
+    def give_back(self) -> None:
+        """Returns an extra attempt that was taken and not sent."""
+        if self._extras:
+            self._extras.pop()
+
 
 def create_attempt_budget(
     clock: base.Clock, bounds: BudgetBounds
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self._regions = regions
         self.table: _resources.RoutingTable | None = None
+        self._table_ms = clock.now_ms()
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
         self._departures: dict[str, _Departure] = {}
@@ -42,6 +43,43 @@
         """Whether requests can be served."""
         return self.table is not None and self.has_servers
 
+    @property
+    def caller_limits(self) -> _resources.CallerLimits:
+        """Returns what callers may send."""
+        return self.table.limits if self.table else _resources.CallerLimits()
+
+    def read_version(self) -> int:
+        """Returns the version of the routing table, 0 if there is none."""
+        return self.table.version if self.table else 0
+
+    def read_version_age_ms(self) -> float:
+        """Returns for how long the routing table has been in force."""
+        return self._clock.now_ms() - self._table_ms
+
+    def count_servers(self) -> int:
+        """Returns the number of servers."""
+        return len(self._views)
+
+    def count_ejected(self) -> int:
+        """Returns the number of servers that failures keep from work."""
+        return sum(view.is_ejected for view in self._views.values())
+
+    def count_cold(self) -> int:
+        """Returns the number of servers that are warming up."""
+        return sum(view.is_cold for view in self._views.values())
+
+    def count_connections(self) -> int:
+        """Returns the number of open connections to servers."""
+        return sum(view.pool.open_count for view in self._views.values())
+
+    def cold_rate(self, service: str) -> float:
+        """Returns this host's part of what a cold server bears a second.
+
+        It is 0 where there is no bound.
+        """
+        found = self.table.services.get(service) if self.table else None
+        return found.cold_rate / self.hosts if found else 0.0
+
     def region(self, domain: str) -> str:
         """Returns the region of a failure domain, empty if not known."""
         return self._regions.get(domain, "")
@@ -52,6 +90,7 @@
         if self.table is not None and table.version <= old:
             return
         self.table = table
+        self._table_ms = self._clock.now_ms()
         for view in self._views.values():
             view.pool.max_connections = self._connection_share(view.server)
         base.log_event(_logger, "configuration", old=old, version=table.version)
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -60,11 +60,23 @@
             return await _singlecalls.call_single(
                 self._tools, request, route, service, deadline_ms
             )
-        if not self._has_coverage(route):
+        usable = self._count_usable(route)
+        if not usable or usable < route.min_coverage * len(route.shards):
+            base.log_event(
+                _logger,
+                "too-few-shards",
+                request=request.request_id,
+                usable=usable,
+                shards=len(route.shards),
+                least=route.min_coverage,
+            )
             return _singlecalls.refuse(_calls.RefusalReason.NO_SERVER, False)
         fan_out = _fanouts.FanOut(self._tools, request, route, deadline_ms)
         outcome = await fan_out.run()
         if fan_out.unanswered:
+            self._tools.measurements.count(
+                "missing_shards", route.name, len(fan_out.unanswered)
+            )
             base.log_event(
                 _logger,
                 "shards-missing",
@@ -74,13 +86,12 @@
             )
         return outcome
 
-    def _has_coverage(self, route: _resources.Route) -> bool:
-        usable = sum(
+    def _count_usable(self, route: _resources.Route) -> int:
+        return sum(
             1
             for service in route.shards
             if self._tools.selector.usable(route, service)
         )
-        return usable >= route.min_coverage * len(route.shards) and usable > 0
 
     def _log(
         self,
@@ -89,14 +100,20 @@
         version: int,
         outcome: _calls.Outcome,
     ) -> None:
+        took_ms = self._tools.clock.now_ms() - request.received_ms
+        described = _describe(outcome)
+        self._tools.measurements.count("requests", str(described["outcome"]))
+        self._tools.measurements.add_latency("request", route, took_ms)
+        if "reason" in described:
+            self._tools.measurements.count("refusals", str(described["reason"]))
         base.log_event(
             _logger,
             "request",
             request=request.request_id,
             route=route,
             version=version,
-            took_ms=round(self._tools.clock.now_ms() - request.received_ms),
-            **_describe(outcome),
+            took_ms=round(took_ms),
+            **described,
         )
 
 
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -39,6 +39,11 @@
             collections.deque()
         )
 
+    @property
+    def open_count(self) -> int:
+        """Returns the number of connections, idle and busy."""
+        return self._open
+
     @property
     def is_full(self) -> bool:
         """Whether a request would have to wait for a connection."""
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -1,8 +1,7 @@
 """What this host observes of each backend server."""
 
 import asyncio
-
-import attrs
+import random
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _pools
@@ -11,6 +10,7 @@
 _WEIGHT = 0.2  # Five answers decide, about two seconds of one host's traffic.
 _HALF_LIFE_MS = 4_000.0  # A server that is avoided is tried again after this.
 _EJECT_FAILURES = 0.5  # Half of the recent attempts failed.
+_MS_PER_S = 1_000.0
 _EJECT_MS = 1_000.0
 _MAX_EJECT_MS = 8_000.0
 
@@ -38,6 +38,9 @@
         # Whether another server was found at the address.
         self.is_misdirected = False
         self._cold_until_ms = clock.now_ms() + server.cold_ms
+        # Servers that start together would else get a burst from all hosts.
+        self._cold_phase = random.random()
+        self._cold_sent_ms: float | None = None
         # The tasks of attempts whose answer nobody waits for any more.
         self._losers: list[asyncio.Task[None]] = []
 
@@ -79,6 +82,25 @@
         """Counts an attempt as ended."""
         self._running.pop(number, None)
 
+    def may_take(self, cold_rate: float) -> bool:
+        """Whether the server bears a request now.
+
+        Args:
+          cold_rate: The requests a second that this host may send while the
+            server is cold, 0 for any number.
+        """
+        if not cold_rate or not self.is_cold:
+            return True
+        period_ms = _MS_PER_S / cold_rate
+        if self._cold_sent_ms is None:
+            now_ms = self._clock.now_ms()
+            self._cold_sent_ms = now_ms - self._cold_phase * period_ms
+        return self._clock.now_ms() - self._cold_sent_ms >= period_ms
+
+    def note_chosen(self) -> None:
+        """Counts a request that is about to be sent."""
+        self._cold_sent_ms = self._clock.now_ms()
+
     def add_loser(self, task: asyncio.Task[None]) -> None:
         """Takes an attempt that may be cancelled when a connection is needed.
 
@@ -124,16 +146,6 @@
         self._noted_ms = self._clock.now_ms()
 
 
-@attrs.frozen
-class ServerKey:
-    """Names one incarnation of a server."""
-
-    # The identity, which a later incarnation may bear again.
-    instance_id: str
-    # The Unix time of the start in ms.
-    started_ms: int
-
-
 def create_server_view(
     clock: base.Clock, server: _resources.Server, max_connections: int
 ) -> ServerView:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -11,6 +11,7 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
@@ -29,7 +30,7 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class CallTools:
     """What calls of all services share."""
 
@@ -41,6 +42,8 @@
     client: _serverclients.ServerClient
     # The bounds on extra attempts.
     bounds: _budgets.BudgetBounds
+    # What the host counts.
+    measurements: _measurements.Measurements
     # The clock of the process.
     clock: base.Clock
     # The budgets by service, which are created when first needed.
@@ -48,6 +51,12 @@
         factory=dict, alias="by_service"
     )
 
+    def set_bounds(self, bounds: _budgets.BudgetBounds) -> None:
+        """Takes other bounds on extra attempts."""
+        self.bounds = bounds
+        for budget in self._by_service.values():
+            budget.bounds = bounds
+
     def budget(self, service: str) -> _budgets.AttemptBudget:
         """Returns the budget of a service."""
         if service not in self._by_service:
@@ -63,6 +72,8 @@
 
     # The server.
     view: _servers.ServerView
+    # Whether the budget was charged for it.
+    is_extra: bool
     # The task that waits for the answer.
     task: asyncio.Task[None] | None = None
     # The clock's time at which the request was written, if it was.
@@ -130,11 +141,14 @@
         )
         if view is None:
             return False
-        if self.attempts and not self._tools.budget(self.service).take(
+        # An attempt that is still connecting will be sent, too.
+        is_extra = bool(self.attempts or self._running)
+        if is_extra and not self._tools.budget(self.service).take(
             self._tools.catalog.hosts, reserve
         ):
             return False
-        attempt = _Attempt(view=view)
+        attempt = _Attempt(view=view, is_extra=is_extra)
+        view.note_chosen()
         self._tried.append(view)
         self._running.append(attempt)
         attempt.task = asyncio.create_task(self._run(attempt))
@@ -168,14 +182,21 @@
             self.has_run = True
             self._take(attempt, answer)
         finally:
-            self._running.remove(attempt)
+            self._forget(attempt)
+            if attempt.is_extra and attempt.sent_ms is None:
+                self._tools.budget(self.service).give_back()
 
     def _note_sent(self, attempt: _Attempt) -> None:
         attempt.sent_ms = self._tools.clock.now_ms()
         self.attempts += 1
+        self._tools.measurements.count("attempts")
         if not self.is_settled:
             self._arm_hedge(self._hedge_delay_ms(attempt.view))
 
+    def _forget(self, attempt: _Attempt) -> None:
+        if attempt in self._running:
+            self._running.remove(attempt)
+
     def _take(self, attempt: _Attempt, answer: _calls.ServerAnswer) -> None:
         if answer.is_success or answer.status < _FIRST_SERVER_ERROR:
             assert attempt.sent_ms is not None
@@ -185,6 +206,8 @@
                 self._tools.clock.now_ms() - attempt.sent_ms,
             )
             if not self.is_settled:
+                if attempt.view is not self._tried[0]:
+                    self._tools.measurements.count("answers_of_extra_attempts")
                 self.answer = answer
                 self._settle()
             return
@@ -199,15 +222,17 @@
         error: base.CowslipvalveError | None,
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
+        self._forget(attempt)
         if not isinstance(error, _errors.PoolBusyError):
             attempt.view.note_failure()
+        self._tools.measurements.count("failed_attempts", reason.value)
         self._log(
             "attempt-failed", attempt.view, reason=reason.value, error=error
         )
         if self.is_settled:
             return
         self.reason = reason
-        if len(self._running) > 1:
+        if self._running:
             return
         if not self._may_repeat() or not self._retry():
             self._settle()
@@ -262,6 +287,7 @@
             return
         late = [attempt.view for attempt in self._running]
         if self._launch(reserve=_RESERVE) and late:
+            self._tools.measurements.count("hedges")
             self._log("hedge", late[0], silent_ms=round(late[0].silent_ms()))
 
     def _settle(self) -> None:
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -0,0 +1,183 @@
+"""Budgets, splits, merging, ejection, warm-up and the volume of logs."""
+
+import collections
+import heapq
+import logging
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+import cowslipvalve_gateway as gateway
+from cowslipvalve_gateway import _servers
+from cowslipvalve_standins import _clocks
+
+_BOUNDS = gateway.BudgetBounds(ratio=0.2, slack=56, window_ms=10_000)
+_HOSTS = 8
+
+
+class AttemptBudgetTest(unittest.TestCase):
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, _HOSTS - 1),
+                strategies.integers(0, 4),
+                strategies.integers(0, 400),
+            ),
+            max_size=200,
+        )
+    )
+    def test_all_hosts_together_keep_the_bound(
+        self, steps: list[tuple[int, int, int]]
+    ) -> None:
+        clock = _clocks.create_manual_clock()
+        budgets = [
+            gateway.create_attempt_budget(clock, _BOUNDS) for _ in range(_HOSTS)
+        ]
+        requests: list[float] = []
+        extras: list[float] = []
+        for host, wanted, pause_ms in steps:
+            budgets[host].add_request()
+            requests.append(clock.now_ms())
+            for _ in range(wanted):
+                if budgets[host].take(_HOSTS):
+                    extras.append(clock.now_ms())
+            start_ms = clock.now_ms() - _BOUNDS.window_ms
+            recent = sum(1 for t in requests if t >= start_ms)
+            sent = sum(1 for t in extras if t >= start_ms)
+            bound = _BOUNDS.ratio * recent + _BOUNDS.slack
+            self.assertLessEqual(sent, bound)
+            clock.advance(pause_ms)
+
+    def test_attempt_that_was_not_sent_is_given_back(self) -> None:
+        budget = gateway.create_attempt_budget(
+            _clocks.create_manual_clock(), _BOUNDS
+        )
+        before = budget.left(_HOSTS)
+        self.assertTrue(budget.take(_HOSTS))
+        budget.give_back()
+        self.assertEqual(budget.left(_HOSTS), before)
+
+
+class SplitterTest(unittest.TestCase):
+
+    def test_each_service_gets_its_share_of_any_run(self) -> None:
+        split = (
+            gateway.Share(service="a", weight=7.0),
+            gateway.Share(service="b", weight=2.0),
+            gateway.Share(service="c", weight=1.0),
+        )
+        route = gateway.Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            is_idempotent=True,
+            timeout_ms=1,
+            target_ms=1,
+            max_attempts=1,
+            split=split,
+        )
+        splitter = gateway.create_splitter()
+        chosen = [splitter.choose(route) for _ in range(1_000)]
+        for start in range(0, 900, 50):
+            counts = collections.Counter(chosen[start : start + 100])
+            self.assertEqual(counts["a"] // 10, 7)
+            self.assertLessEqual(abs(counts["b"] - 20), 2)
+
+
+class MergeTest(unittest.TestCase):
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(strategies.binary(max_size=80), max_size=6),
+        strategies.integers(0, 12),
+    )
+    def test_greatest_records_in_falling_order(
+        self, bodies: list[bytes], count: int
+    ) -> None:
+        records = [
+            body[start : start + gateway.RECORD_BYTES]
+            for body in bodies
+            for start in range(0, len(body) - gateway.RECORD_BYTES + 1, 16)
+        ]
+        expected = b"".join(heapq.nlargest(count, records))
+        self.assertEqual(gateway.merge_records(bodies, count), expected)
+
+
+class ServerViewTest(unittest.TestCase):
+
+    def create(self, **fields: float) -> _servers.ServerView:
+        self.clock = _clocks.create_manual_clock()
+        server = gateway.Server(
+            instance_id="i",
+            service="s",
+            address="127.0.0.1:1",
+            domain="d",
+            state=gateway.ServerState.READY,
+            slots=2,
+            **fields,  # type: ignore[arg-type]
+        )
+        return _servers.create_server_view(self.clock, server, 3)
+
+    def test_failures_eject_and_time_brings_back(self) -> None:
+        view = self.create()
+        for _ in range(2):
+            view.note_failure()
+        self.assertFalse(view.is_ejected)
+        for _ in range(4):
+            view.note_failure()
+        self.assertTrue(view.is_ejected)
+        self.clock.advance(1_500)
+        self.assertFalse(view.is_ejected)
+
+    def test_slowness_fades_while_the_server_is_avoided(self) -> None:
+        view = self.create()
+        for _ in range(10):
+            view.note_answer(300.0, 30.0)
+        self.assertGreater(view.slowness, 5.0)
+        self.clock.advance(30_000)
+        self.assertLess(view.slowness, 1.1)
+
+    def test_cold_server_is_paced_over_all_hosts(self) -> None:
+        # Eight hosts share 16 requests a second, for three seconds.
+        views = [self.create(cold_ms=3_000.0) for _ in range(_HOSTS)]
+        for view in views:
+            view._clock = self.clock
+        sent: list[float] = []
+        for _ in range(300):
+            for view in views:
+                if view.may_take(16.0 / _HOSTS):
+                    view.note_chosen()
+                    sent.append(self.clock.now_ms())
+            self.clock.advance(10)
+            start_ms = self.clock.now_ms() - 1_000
+            recent = sum(1 for t in sent if t > start_ms)
+            self.assertLessEqual(recent, 16 * 1.5 + 5)
+        self.assertGreater(len(sent), 40)
+        self.assertTrue(views[0].may_take(16.0 / _HOSTS))
+
+
+class VolumeFilterTest(unittest.TestCase):
+
+    def test_successes_are_left_out_first(self) -> None:
+        measurements = gateway.create_measurements()
+        volume = gateway.VolumeFilter(measurements)
+
+        def offer(count: int, **fields: str) -> int:
+            return sum(
+                volume.filter(
+                    logging.makeLogRecord({"msg": {"msg": "x", **fields}})
+                )
+                for _ in range(count)
+            )
+
+        self.assertLessEqual(offer(1_000, outcome="merged"), 300)
+        self.assertLessEqual(offer(1_000, outcome="refused"), 800)
+        left_out = measurements.read_counts()[("log_lines_left_out", "")]
+        self.assertGreaterEqual(left_out, 900)
+
+
+if __name__ == "__main__":
+    unittest.main()
