--- a/packages/cli/cowslipvalve_cli/_main.py
+++ b/packages/cli/cowslipvalve_cli/_main.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import getpass
+import pathlib
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+)
 from contextlib import asynccontextmanager
 from typing import Annotated, Any
 
@@ -12,6 +19,7 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_store as store
+from cowslipvalve_cli import _explanations
 from cowslipvalve_cli import _files
 from cowslipvalve_cli import _operations
 from cowslipvalve_cli import _output
@@ -292,6 +300,33 @@
     _place(platform_url, operator, "BackendServer", name, model.Placement.IN)
 
 
+@app.command
+def explain(request_id: str, *logs: pathlib.Path) -> None:
+    """Prints the decisions about one request from the logs of all hosts.
+
+    Args:
+      request_id: The id that the caller gave the request.
+      logs: The log files; standard input if there are none.
+    """
+    found = _explanations.find_decisions(request_id, _read_logs(logs))
+    for decision in found:
+        print(decision.format())
+    if not found:
+        print(f"cowslipvalve: no line about {request_id}", file=sys.stderr)
+        sys.exit(EXIT_NOT_FOUND)
+
+
+def _read_logs(paths: Iterable[pathlib.Path]) -> Iterator[tuple[str, str]]:
+    names = tuple(paths)
+    if not names:
+        for line in sys.stdin:
+            yield line.split(" level=")[0].partition(" at=")[0].strip(), line
+    for path in names:
+        with _ExitOnError(), path.open(encoding="utf-8") as file:
+            for line in file:
+                yield path.stem, line
+
+
 def _place(
     platform_url: str,
     operator: str,
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -48,9 +48,9 @@
 
     @property
     def unanswered(self) -> list[str]:
-        """Returns the shards that have given no part."""
+        """Describes the calls of the shards that have given no part."""
         return [
-            call.service
+            call.describe()
             for call in self._calls
             if call.answer is None or not call.answer.is_success
         ]
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -116,6 +116,12 @@
         self.attempts = 0
         self.is_settled = False
 
+    def describe(self) -> str:
+        """Returns the service, how often it was asked, and what is known."""
+        state = self.reason.value if self.is_settled else "waiting"
+        names = "+".join(view.server.instance_id for view in self._tried)
+        return f"{self.service}:{names}:{self.attempts}:{state}"
+
     def start(self) -> None:
         """Sends the first attempt."""
         self._tools.budget(self.service).add_request()
@@ -124,6 +130,8 @@
 
     def abandon(self) -> None:
         """Cancels all attempts at once."""
+        if not self.is_settled:
+            self.reason = _calls.RefusalReason.TIMEOUT
         self.is_settled = True
         self._stop_timer()
         for attempt in self._running:
@@ -286,9 +294,15 @@
         if self.is_settled:
             return
         late = [attempt.view for attempt in self._running]
-        if self._launch(reserve=_RESERVE) and late:
+        is_sent = self._launch(reserve=_RESERVE)
+        if is_sent:
             self._tools.measurements.count("hedges")
-            self._log("hedge", late[0], silent_ms=round(late[0].silent_ms()))
+        if late:
+            self._log(
+                "hedge" if is_sent else "hedge-refused",
+                late[0],
+                silent_ms=round(late[0].silent_ms()),
+            )
 
     def _settle(self) -> None:
         self.is_settled = True
