Learn from silence, give dark shards up early, wait for the state at a start

Attempts that were given up taught nothing of their server. Hosts that came back after a power loss refused the requests of their first 0.2 s, and callers retry once. Ruled out: the retry budget (10 of 12 attempts were left). Change: an attempt that was given up after twice the late percentile counts as a failure, so that dark servers are ejected; an answer that has the least coverage waits no longer for shards all of whose servers are ejected; the margin before the target is 8 % of it where that is more; a host that starts holds requests for up to 0.2 s until its state is known. split_address stands once, in the base. Tests that failed before: shard_that_stays_dark (184 ms, bound 100) and request_during_the_start (503). server_that_stays_silent passed before as well.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -1,5 +1,6 @@
 """What every package and program uses: clock, codec, errors, events."""
 
+from cowslipvalve_base._addresses import split_address
 from cowslipvalve_base._clock import Clock
 from cowslipvalve_base._clock import create_clock
 from cowslipvalve_base._clock import to_seconds
@@ -55,6 +56,7 @@
     "encode_plain",
     "from_plain",
     "log_event",
+    "split_address",
     "to_camel_case",
     "to_plain",
     "to_seconds",
--- a/packages/cli/cowslipvalve_cli/_explanations.py
+++ b/packages/cli/cowslipvalve_cli/_explanations.py
@@ -1,7 +1,9 @@
 """Finds the decisions about one request in the logs of all hosts."""
 
+import pathlib
 import re
-from collections.abc import Iterable
+import sys
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -65,3 +67,20 @@
         event = fields.pop(_EVENT_KEY, "")
         found.append(Decision(time, source, event, tuple(fields.items())))
     return sorted(found, key=lambda decision: decision.time)
+
+
+def read_logs(paths: Iterable[pathlib.Path]) -> Iterator[tuple[str, str]]:
+    """Yields the lines of logs with the name of the host that wrote them.
+
+    Args:
+      paths: The files, named like their hosts; standard input if there are
+        none, where a collector has put the host in front of each line.
+    """
+    names = tuple(paths)
+    if not names:
+        for line in sys.stdin:
+            yield line.partition(" at=")[0].strip(), line
+    for path in names:
+        with path.open(encoding="utf-8") as file:
+            for line in file:
+                yield path.stem, line
--- a/packages/cli/cowslipvalve_cli/_main.py
+++ b/packages/cli/cowslipvalve_cli/_main.py
@@ -8,8 +8,6 @@
     AsyncIterator,
     Awaitable,
     Callable,
-    Iterable,
-    Iterator,
 )
 from contextlib import asynccontextmanager
 from typing import Annotated, Any
@@ -308,7 +306,12 @@
       request_id: The id that the caller gave the request.
       logs: The log files; standard input if there are none.
     """
-    found = _explanations.find_decisions(request_id, _read_logs(logs))
+    try:
+        lines = tuple(_explanations.read_logs(logs))
+    except OSError as error:
+        print(f"cowslipvalve: {error}; name a readable file", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    found = _explanations.find_decisions(request_id, lines)
     for decision in found:
         print(decision.format())
     if not found:
@@ -316,17 +319,6 @@
         sys.exit(EXIT_NOT_FOUND)
 
 
-def _read_logs(paths: Iterable[pathlib.Path]) -> Iterator[tuple[str, str]]:
-    names = tuple(paths)
-    if not names:
-        for line in sys.stdin:
-            yield line.split(" level=")[0].partition(" at=")[0].strip(), line
-    for path in names:
-        with _ExitOnError(), path.open(encoding="utf-8") as file:
-            for line in file:
-                yield path.stem, line
-
-
 def _place(
     platform_url: str,
     operator: str,
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -139,7 +139,7 @@
         context = self._parts.transport.server_context if is_peer else None
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await runner.setup()
-        host, port = _settings.split_address(address)
+        host, port = model.split_address(address)
         site = web.TCPSite(runner, host, port, ssl_context=context)
         await site.start()
         self._runners.append(runner)
--- a/packages/daemon/cowslipvalve_daemon/_settings.py
+++ b/packages/daemon/cowslipvalve_daemon/_settings.py
@@ -117,9 +117,3 @@
         raise model.SettingsError(
             f"{path}: {error}", step="check-settings"
         ) from error
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Returns the host and the port of an address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -1,5 +1,6 @@
 """What this host believes: routes, servers, out-of-service domains, hosts."""
 
+import asyncio
 import logging
 
 import attrs
@@ -37,6 +38,7 @@
         self.domains_out: frozenset[str] = frozenset()
         self.hosts = _DEFAULT_HOSTS
         self.has_servers = False
+        self._completed = asyncio.Event()
 
     @property
     def is_complete(self) -> bool:
@@ -80,6 +82,15 @@
         found = self.table.services.get(service) if self.table else None
         return found.cold_rate / self.hosts if found else 0.0
 
+    async def wait_until_complete(self, timeout_ms: float) -> bool:
+        """Waits until requests can be served; returns whether they can."""
+        try:
+            async with asyncio.timeout(base.to_seconds(timeout_ms)):
+                await self._completed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def region(self, domain: str) -> str:
         """Returns the region of a failure domain, empty if not known."""
         return self._regions.get(domain, "")
@@ -159,6 +170,7 @@
             if name not in names:
                 self.drop_server(name, grace_ms)
         self.has_servers = True
+        self._note_completeness()
 
     def remove_departed(self) -> None:
         """Removes the servers that have not registered again in time."""
@@ -180,6 +192,10 @@
         """Returns the servers of a service, those included that are out."""
         return self._by_service.get(service, [])
 
+    def _note_completeness(self) -> None:
+        if self.is_complete:
+            self._completed.set()
+
     def _add(self, server: _resources.Server) -> None:
         view = _servers.create_server_view(
             self._clock, server, self._connection_share(server)
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -10,6 +10,8 @@
 from cowslipvalve_gateway import _singlecalls
 
 _ROUNDING = 1e-9
+_MAX_DARK = 3  # More shards at once are rather a fault of this host.
+_RETURN_TARGET_SHARE = 0.08  # 20 of 347 ms came late where hosts were busy.
 _RETURN_MS = 20.0  # Of the target, the caller's way, the merge and its queue.
 
 
@@ -30,7 +32,8 @@
         self._tools = tools
         self._route = route
         self._deadline_ms = deadline_ms
-        self._target_ms = request.received_ms + route.target_ms - _RETURN_MS
+        return_ms = max(_RETURN_MS, route.target_ms * _RETURN_TARGET_SHARE)
+        self._target_ms = request.received_ms + route.target_ms - return_ms
         self._changed = asyncio.Event()
         self._calls = [
             _servicecalls.ServiceCall(
@@ -90,11 +93,21 @@
             return True
         if not self._is_enough(total - self._failed):
             return True
+        if self._is_enough(len(self._parts)) and self._is_rest_dark():
+            return True
         now_ms = self._tools.clock.now_ms()
         if now_ms >= self._deadline_ms:
             return True
         return now_ms >= self._target_ms and self._is_enough(len(self._parts))
 
+    def _is_rest_dark(self) -> bool:
+        """Whether only shards are left whose servers answer nobody."""
+        waiting = [call for call in self._calls if not call.is_settled]
+        # Each part looks here, so the usual case has to be cheap.
+        if len(waiting) > _MAX_DARK:
+            return False
+        return all(call.is_dark for call in waiting)
+
     def _next_time_ms(self) -> float:
         if self._tools.clock.now_ms() < self._target_ms:
             return min(self._target_ms, self._deadline_ms)
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -10,6 +10,7 @@
 from cowslipvalve_gateway import _singlecalls
 from cowslipvalve_gateway import _splits
 
+_START_WAIT_MS = 200.0  # Most lists of the state end within this time.
 _START_RETRY_MS = 500.0  # A host that starts reads its state in this time.
 
 _logger = logging.getLogger(__name__)
@@ -29,8 +30,11 @@
 
     async def handle(self, request: _calls.CallerRequest) -> _calls.Outcome:
         """Returns the answer to a request, or why there is none."""
-        table = self._tools.catalog.table
-        if table is None or not self._tools.catalog.is_complete:
+        catalog = self._tools.catalog
+        if not catalog.is_complete:
+            await catalog.wait_until_complete(_START_WAIT_MS)
+        table = catalog.table
+        if table is None or not catalog.is_complete:
             outcome: _calls.Outcome = _calls.Refusal(
                 reason=_calls.RefusalReason.NO_CONFIGURATION,
                 is_not_run=True,
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -118,7 +118,7 @@
         return None
 
     async def _connect(self) -> _connections.ServerConnection:
-        host, _, port = self._address.rpartition(":")
+        host, port = base.split_address(self._address)
         loop = asyncio.get_running_loop()
         self._open += 1
         try:
@@ -126,7 +126,7 @@
                 _, connection = await loop.create_connection(
                     lambda: _connections.ServerConnection(self._address),
                     host,
-                    int(port),
+                    port,
                 )
         except OSError as error:  # A timeout is one, too.
             self._open -= 1
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -12,6 +12,7 @@
 _DEFAULT_LATENCY_MS = 30.0  # Before the first answers: a remote round trip.
 _MEDIAN = 50
 _LATE_PERCENT = 97
+_SILENT_FACTOR = 2.0  # Beyond the usual pauses: the server is dark.
 _SILENT_COST_MS = 60.0  # Half of a usual pause is left when it is noticed.
 _COLD_COST_MS = 20.0
 _EJECTED_COST_MS = 10_000.0  # Only where every other server is ejected too.
@@ -73,6 +74,20 @@
         view.note_answer(latency_ms, latencies.percentile_ms(_MEDIAN))
         latencies.add(latency_ms)
 
+    def note_unanswered(
+        self,
+        route: _resources.Route,
+        view: _servers.ServerView,
+        waited_ms: float,
+    ) -> None:
+        """Learns from an attempt that was given up without an answer."""
+        latencies = self.latencies(route, view)
+        late_ms = latencies.percentile_ms(_LATE_PERCENT)
+        if waited_ms > _SILENT_FACTOR * late_ms:
+            view.note_failure()
+        elif waited_ms > late_ms:
+            view.note_answer(waited_ms, latencies.percentile_ms(_MEDIAN))
+
     def _is_usable(
         self, view: _servers.ServerView, route: _resources.Route
     ) -> bool:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -116,6 +116,12 @@
         self.attempts = 0
         self.is_settled = False
 
+    @property
+    def is_dark(self) -> bool:
+        """Whether recent attempts at every server failed or got no answer."""
+        views = self._tools.selector.usable(self._route, self.service)
+        return all(view.is_ejected for view in views)
+
     def describe(self) -> str:
         """Returns the service, how often it was asked, and what is known."""
         state = self.reason.value if self.is_settled else "waiting"
@@ -186,6 +192,9 @@
         except _errors.LostAnswerError as error:
             self.has_run = True
             self._fail(attempt, _calls.RefusalReason.LOST, error)
+        except asyncio.CancelledError:
+            self._note_unanswered(attempt)
+            raise
         else:
             self.has_run = True
             self._take(attempt, answer)
@@ -201,6 +210,15 @@
         if not self.is_settled:
             self._arm_hedge(self._hedge_delay_ms(attempt.view))
 
+    def _note_unanswered(self, attempt: _Attempt) -> None:
+        """Learns from an attempt that was given up."""
+        if attempt.sent_ms is not None:
+            self._tools.selector.note_unanswered(
+                self._route,
+                attempt.view,
+                self._tools.clock.now_ms() - attempt.sent_ms,
+            )
+
     def _forget(self, attempt: _Attempt) -> None:
         if attempt in self._running:
             self._running.remove(attempt)
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -7,7 +7,7 @@
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 
-RETRY_AFTER_MS = 200.0  # A slot of the slowest service is free by then.
+_RETRY_AFTER_MS = 200.0  # A slot of the slowest service is free by then.
 
 
 async def call_single(
@@ -48,5 +48,5 @@
     return _calls.Refusal(
         reason=reason,
         is_not_run=not may_have_run,
-        retry_after_ms=None if may_have_run else RETRY_AFTER_MS,
+        retry_after_ms=None if may_have_run else _RETRY_AFTER_MS,
     )
