--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: setup
 	$(BIN)/python -m cowslipvalve_standins.demo
+	$(BIN)/python -m cowslipvalve_standins.wiredemo
 
 check: setup
 	$(BIN)/pyink --check --quiet packages platform standins
--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -4,7 +4,7 @@
 import itertools
 import time
 import unittest
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -51,6 +51,58 @@
     return {**route, **fields}
 
 
+def create_registration(
+    server: _wireserver.WireServer, service: str, **fields: Any
+) -> dict[str, Any]:
+    """Returns what a server writes of itself into the store."""
+    entry = {
+        "service": service,
+        "address": server.address,
+        "zone": "kuopio",
+        "config-version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "warmup-left-ms": 0,
+        "sequence": 1,
+        "born": 1_000,
+    }
+    return {**entry, **fields}
+
+
+def create_config(
+    version: int, routes: Sequence[dict[str, Any]], **limits: Any
+) -> dict[str, Any]:
+    """Returns a configuration document with the services of its routes."""
+    services: set[str] = set()
+    for route in routes:
+        services.update(route.get("fanout-services", ()))
+        services.update(p["service"] for p in route.get("traffic-split", ()))
+        services.update({route["service"]} if "service" in route else ())
+    return {
+        "config-version": version,
+        "routes": list(routes),
+        "services": [
+            {
+                "name": name,
+                "health-path": "/health",
+                "max-connections": 32,
+                "protocol": "h1",
+                "tls": False,
+                "warmup-s": 3.0,
+                "warmup-per-s": 0.0,
+            }
+            for name in sorted(services)
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 262144,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+            **limits,
+        },
+    }
+
+
 def create_record(value: int) -> bytes:
     """Returns a record; a greater value gives a greater record."""
     return value.to_bytes(_wireserver.RECORD_BYTES, "big")
@@ -89,52 +141,13 @@
         self, server: _wireserver.WireServer, service: str, **fields: Any
     ) -> None:
         """Writes the registration of a server."""
-        entry = {
-            "service": service,
-            "address": server.address,
-            "zone": "kuopio",
-            "config-version": "v1",
-            "slots": 4,
-            "state": "ready",
-            "warmup-left-ms": 0,
-            "sequence": 1,
-            "born": 1_000,
-        }
-        self.store.put("servers", server.instance_id, {**entry, **fields})
+        entry = create_registration(server, service, **fields)
+        self.store.put("servers", server.instance_id, entry)
 
     def configure(self, *routes: dict[str, Any], **limits: Any) -> None:
         """Writes the next version of the configuration."""
         self.version += 3
-        services: set[str] = set()
-        for route in routes:
-            services.update(route.get("fanout-services", ()))
-            services.update(
-                p["service"] for p in route.get("traffic-split", ())
-            )
-            services.update({route["service"]} if "service" in route else ())
-        plain = {
-            "config-version": self.version,
-            "routes": list(routes),
-            "services": [
-                {
-                    "name": name,
-                    "health-path": "/health",
-                    "max-connections": 32,
-                    "protocol": "h1",
-                    "tls": False,
-                    "warmup-s": 3.0,
-                    "warmup-per-s": 0.0,
-                }
-                for name in sorted(services)
-            ],
-            "limits": {
-                "max-header-bytes": 16384,
-                "max-body-bytes": 262144,
-                "header-timeout-ms": 3000,
-                "idle-timeout-ms": 15000,
-                **limits,
-            },
-        }
+        plain = create_config(self.version, routes, **limits)
         self.store.put("config", "main", plain)
 
     async def start_host(self, **fields: Any) -> adapter.Host:
