Forget routes and services that are gone; ask at once after a lost store

Change: a new version drops what was learned of others, but for budgets that were used in their window; the first watch after a loss waits 1 ms.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -37,6 +37,12 @@
         self._requests: collections.deque[float] = collections.deque()
         self._extras: collections.deque[float] = collections.deque()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing was sent in the last window."""
+        self._forget_old()
+        return not (self._requests or self._extras)
+
     def add_request(self) -> None:
         """Counts a request of a caller."""
         self._requests.append(self._clock.now_ms())
@@ -47,13 +53,16 @@
         Args:
           hosts: The number of hosts that share the slack.
         """
+        self._forget_old()
+        slack = self.bounds.slack * _SLACK_PART / max(1, hosts)
+        earned = self.bounds.ratio * len(self._requests)
+        return earned + slack - len(self._extras)
+
+    def _forget_old(self) -> None:
         start_ms = self._clock.now_ms() - self.bounds.window_ms
         for times in (self._requests, self._extras):
             while times and times[0] < start_ms:
                 times.popleft()
-        slack = self.bounds.slack * _SLACK_PART / max(1, hosts)
-        earned = self.bounds.ratio * len(self._requests)
-        return earned + slack - len(self._extras)
 
     def take(self, hosts: int, reserve: float = 0.0) -> bool:
         """Takes one extra attempt, unless no more than a reserve is left."""
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -22,6 +22,7 @@
     def __init__(self, tools: _servicecalls.CallTools) -> None:
         self._tools = tools
         self._splits = _splits.create_splitter()
+        self._known_version = 0
 
     @property
     def is_ready(self) -> bool:
@@ -42,6 +43,8 @@
             )
             self._log(request, "", 0, outcome)
             return outcome
+        if table.version != self._known_version:
+            self._forget_other_versions(table)
         route = table.find_route(request.host, request.path)
         if route is None:
             outcome = _calls.Refusal(
@@ -53,6 +56,13 @@
         self._log(request, route.name, table.version, outcome)
         return outcome
 
+    def _forget_other_versions(self, table: _resources.RoutingTable) -> None:
+        """Drops what was learned of routes and services that are gone."""
+        self._known_version = table.version
+        self._splits.keep_routes(table.routes)
+        self._tools.selector.keep_routes({r.name for r in table.routes})
+        self._tools.keep_services(table.services)
+
     async def _serve(
         self, request: _calls.CallerRequest, route: _resources.Route
     ) -> _calls.Outcome:
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -28,6 +28,14 @@
         self._clock = clock
         self._latencies: dict[tuple[str, str], _latencies.RecentLatencies] = {}
 
+    def keep_routes(self, names: Collection[str]) -> None:
+        """Forgets the latencies of all other routes."""
+        self._latencies = {
+            key: latencies
+            for key, latencies in self._latencies.items()
+            if key[0] in names
+        }
+
     def usable(
         self, route: _resources.Route, service: str
     ) -> list[_servers.ServerView]:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -57,6 +57,14 @@
         for budget in self._by_service.values():
             budget.bounds = bounds
 
+    def keep_services(self, names: Collection[str]) -> None:
+        """Forgets the budgets of all other services that are not in use."""
+        self._by_service = {
+            name: budget
+            for name, budget in self._by_service.items()
+            if name in names or not budget.is_idle
+        }
+
     def budget(self, service: str) -> _budgets.AttemptBudget:
         """Returns the budget of a service."""
         if service not in self._by_service:
--- a/packages/gateway/cowslipvalve_gateway/_splits.py
+++ b/packages/gateway/cowslipvalve_gateway/_splits.py
@@ -1,5 +1,7 @@
 """Weighted splits of a route's requests."""
 
+from collections.abc import Iterable
+
 from cowslipvalve_gateway import _resources
 
 
@@ -13,6 +15,15 @@
     def __init__(self) -> None:
         self._credits: dict[tuple[_resources.Share, ...], dict[str, float]] = {}
 
+    def keep_routes(self, routes: Iterable[_resources.Route]) -> None:
+        """Forgets what is owed to the services of all other routes."""
+        splits = {route.split for route in routes}
+        self._credits = {
+            split: owed
+            for split, owed in self._credits.items()
+            if split in splits
+        }
+
     def choose(self, route: _resources.Route) -> str:
         """Returns the service of the next request of a route."""
         if len(route.split) == 1:
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -20,6 +20,7 @@
     _stores.Kind.SERVERS: 4_000,
     _stores.Kind.DOMAINS_OUT: 6_000,
 }
+_PROBE_WAIT_MS = 1
 # Registrations come in bursts; waiting for the rest of one saves calls.
 _BURST_MS = 300.0
 _FIRST_BACKOFF_MS = 100.0
@@ -120,9 +121,9 @@
                 if revision is None:
                     listing = await self._store.list_objects(kind)
                 else:
-                    listing = await self._store.watch(
-                        kind, revision, _WAIT_MS[kind]
-                    )
+                    # After a loss the first answer tells that it is over.
+                    wait_ms = _PROBE_WAIT_MS if is_lost else _WAIT_MS[kind]
+                    listing = await self._store.watch(kind, revision, wait_ms)
             except _errors.HistoryGoneError as error:
                 base.log_event(
                     _logger, "history-gone", kind=kind.value, error=error
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -60,6 +60,15 @@
         budget.give_back()
         self.assertEqual(budget.left(_HOSTS), before)
 
+    def test_budget_is_idle_only_after_its_window(self) -> None:
+        # Tools forget idle budgets; an extra attempt must not be forgotten.
+        clock = _clocks.create_manual_clock()
+        budget = gateway.create_attempt_budget(clock, _BOUNDS)
+        budget.add_request()
+        self.assertFalse(budget.is_idle)
+        clock.advance(_BOUNDS.window_ms + 1)
+        self.assertTrue(budget.is_idle)
+
 
 class SplitterTest(unittest.TestCase):
 
