--- /dev/null
+++ b/standins/cowslipvalve_standins/_configurationcosts.py
@@ -0,0 +1,83 @@
+"""Slopes of the configuration and of its compilation."""
+
+import attrs
+import functools
+import tracemalloc
+from collections.abc import Iterable
+
+import cowslipvalve_model as model
+import cowslipvalve_store as store
+from cowslipvalve_daemon import _compilers
+from cowslipvalve_standins import _fits
+from cowslipvalve_standins import _timings
+
+
+def measure_configuration() -> None:
+    """Measures a configuration by the number of its servers."""
+    sizes, whole, change, memory = [], [], [], []
+    for servers in (500, 1_000, 2_000, 5_600):
+        tracemalloc.start()
+        old = _create_configuration(servers)
+        memory.append(
+            (float(servers), tracemalloc.get_traced_memory()[0] / 1e3)
+        )
+        tracemalloc.stop()
+        delta = model.complete_delta(old)
+        text = model.encode(delta)
+        sizes.append((float(servers), len(text) / 1e3))
+        whole.append(
+            (
+                float(servers),
+                _timings.time_us(
+                    functools.partial(
+                        model.decode, model.ConfigurationDelta, text
+                    )
+                ),
+            )
+        )
+        new = attrs.evolve(old, number=2, searches={})
+        change.append(
+            (
+                float(servers),
+                _timings.time_us(
+                    functools.partial(model.compute_delta, old, new)
+                ),
+            )
+        )
+    _fits.report_fit("configuration: size", "kB", "server", sizes)
+    _fits.report_fit("configuration: memory", "kB", "server", memory)
+    _fits.report_fit("configuration: decode the whole", "us", "server", whole)
+    _fits.report_fit("configuration: compute a change", "us", "server", change)
+
+
+def _create_configuration(servers: int) -> model.Configuration:
+    items = [
+        _compilers.check_resource(item)
+        for item in _create_server_objects(servers)
+    ]
+    return model.Configuration(
+        number=1,
+        servers={
+            item.metadata.name: item
+            for item in items
+            if isinstance(item, model.BackendServer)
+        },
+        searches={
+            "search": model.Search(metadata=model.Metadata(name="search"))
+        },
+    )
+
+
+def _create_server_objects(
+    servers: int,
+) -> Iterable[store.StoredObject]:
+    for number in range(servers):
+        yield store.create_object(
+            "BackendServer",
+            f"server-{number}",
+            {
+                "failureDomain": f"domain-{number % 6}",
+                "address": f"10.0.0.1:{number}",
+                "searches": ["search"],
+            },
+        )
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -17,7 +17,7 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_store as store
-from cowslipvalve_standins import _server
+from cowslipvalve_standins import _servertypes
 
 _READY_TIMEOUT_MS = 26_000
 _POLL_MS = 50
@@ -69,7 +69,7 @@
     # The entry hosts.
     hosts: tuple[HostShape, ...]
     # The backend servers and the domains that they are in.
-    servers: tuple[tuple[str, _server.ServerShape], ...]
+    servers: tuple[tuple[str, _servertypes.ServerShape], ...]
     # The resources that operators have written.
     resources: tuple[store.StoredObject, ...]
     # Settings that all hosts have besides their addresses.
--- a/standins/cowslipvalve_standins/_shapes.py
+++ b/standins/cowslipvalve_standins/_shapes.py
@@ -5,7 +5,7 @@
 import cowslipvalve_model as model
 import cowslipvalve_store as store
 from cowslipvalve_standins import _deployments
-from cowslipvalve_standins import _server
+from cowslipvalve_standins import _servertypes
 
 FIRST_SNAPSHOT = 1
 
@@ -56,7 +56,7 @@
         store.create_object("FailureDomain", name, {"region": region}, "setup")
         for name, region in site.domains
     ]
-    servers: list[tuple[str, _server.ServerShape]] = []
+    servers: list[tuple[str, _servertypes.ServerShape]] = []
     count = sum(s.shards * s.replicas for s in site.searches)
     ports = _deployments.choose_ports(count)
     for search in site.searches:
@@ -90,9 +90,9 @@
 
 def _create_server(
     site: SiteShape, search: SearchShape, index: int, replica: int, port: int
-) -> _server.ServerShape:
+) -> _servertypes.ServerShape:
     snapshot = model.Snapshot(search.name, FIRST_SNAPSHOT, search.shards)
-    return _server.ServerShape(
+    return _servertypes.ServerShape(
         name=f"{search.name}-{index}-{'abcdef'[replica]}",
         address=f"127.0.0.1:{port}",
         holdings=(model.Holding(snapshot, (index,)),),
@@ -109,7 +109,7 @@
     site: SiteShape,
     search: SearchShape,
     domain: str,
-    shape: _server.ServerShape,
+    shape: _servertypes.ServerShape,
 ) -> store.StoredObject:
     spec = {
         "failureDomain": domain,
--- a/standins/cowslipvalve_standins/servers.py
+++ b/standins/cowslipvalve_standins/servers.py
@@ -12,9 +12,10 @@
 
 import cowslipvalve_model as model
 from cowslipvalve_standins import _server
+from cowslipvalve_standins import _servertypes
 
 
-async def _serve(shapes: list[_server.ServerShape]) -> None:
+async def _serve(shapes: list[_servertypes.ServerShape]) -> None:
     for shape in shapes:
         app = _server.create_server(shape).create_app()
         runner = web.AppRunner(
@@ -32,7 +33,9 @@
 def main() -> None:
     """Serves until the process is ended."""
     listed = orjson.loads(pathlib.Path(sys.argv[1]).read_bytes())
-    shapes = [model.from_plain(_server.ServerShape, item) for item in listed]
+    shapes = [
+        model.from_plain(_servertypes.ServerShape, item) for item in listed
+    ]
     asyncio.run(_serve(shapes))
 
 
--- a/standins/cowslipvalve_standins/slopes.py
+++ b/standins/cowslipvalve_standins/slopes.py
@@ -9,40 +9,28 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
-import attrs
 from aiohttp import web
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
-import cowslipvalve_store as store
 import cowslipvalve_policy as policy
-from cowslipvalve_daemon import _compilers
 from cowslipvalve_daemon import _partials
 from cowslipvalve_standins import _clocks
+from cowslipvalve_standins import _configurationcosts
 from cowslipvalve_standins import _data
 from cowslipvalve_standins import _deployments
 from cowslipvalve_standins import _fits
 from cowslipvalve_standins import _livecosts
+from cowslipvalve_standins import _timings
 
 _US_PER_S = 1_000_000
 _MIN_TIME_S = 0.2
 _HITS = 10
 
 
-def _time_us(work: Callable[[], object]) -> float:
-    """Returns the processor time of one call."""
-    work()
-    count = 0
-    start = time.process_time()
-    while time.process_time() - start < _MIN_TIME_S:
-        work()
-        count += 1
-    return (time.process_time() - start) / count * _US_PER_S
-
-
 def _create_table(hosts: int, servers: int) -> peers.RecordTable:
     table = peers.create_record_table()
     for number in range(hosts):
@@ -115,7 +103,7 @@
             model.encode(message)
             keeper.merge(model.decode(model.Heartbeat, text).beats)
 
-        costs.append((float(cell), _time_us(work)))
+        costs.append((float(cell), _timings.time_us(work)))
         sizes.append((float(cell), float(len(text))))
     _fits.report_fit(f"heartbeat, {name}: both ends", "us", "host", costs)
     _fits.report_fit(f"heartbeat, {name}: size", "B", "host", sizes)
@@ -135,7 +123,7 @@
         quiet.append(
             (
                 float(servers),
-                _time_us(
+                _timings.time_us(
                     functools.partial(table.collect_changes, change, "x", 500)
                 ),
             )
@@ -143,7 +131,7 @@
         full.append(
             (
                 float(servers),
-                _time_us(
+                _timings.time_us(
                     functools.partial(
                         table.collect_changes, change - 1, "x", 500
                     )
@@ -211,7 +199,7 @@
                 for partial in got.partials:
                     _partials.merge_hits(partial.hits, _HITS)
 
-            points.append((float(batch), _time_us(work)))
+            points.append((float(batch), _timings.time_us(work)))
         _fits.report_fit(
             f"entry leg, both ends, {shards} shards a query",
             "us",
@@ -247,7 +235,7 @@
             model.encode(model.ServerBatch(queries))
             model.decode(model.ServerReply, text)
 
-        points.append((float(batch), _time_us(work)))
+        points.append((float(batch), _timings.time_us(work)))
     _fits.report_fit(
         "server leg, home's end", "us", "shard query in the batch", points
     )
@@ -309,75 +297,6 @@
     _fits.report_fit(name, "us", "kB", points)
 
 
-def measure_configuration() -> None:
-    """Measures a configuration by the number of its servers."""
-    sizes, whole, change, memory = [], [], [], []
-    for servers in (500, 1_000, 2_000, 5_600):
-        tracemalloc.start()
-        old = _create_configuration(servers)
-        memory.append(
-            (float(servers), tracemalloc.get_traced_memory()[0] / 1e3)
-        )
-        tracemalloc.stop()
-        delta = model.complete_delta(old)
-        text = model.encode(delta)
-        sizes.append((float(servers), len(text) / 1e3))
-        whole.append(
-            (
-                float(servers),
-                _time_us(
-                    functools.partial(
-                        model.decode, model.ConfigurationDelta, text
-                    )
-                ),
-            )
-        )
-        new = attrs.evolve(old, number=2, searches={})
-        change.append(
-            (
-                float(servers),
-                _time_us(functools.partial(model.compute_delta, old, new)),
-            )
-        )
-    _fits.report_fit("configuration: size", "kB", "server", sizes)
-    _fits.report_fit("configuration: memory", "kB", "server", memory)
-    _fits.report_fit("configuration: decode the whole", "us", "server", whole)
-    _fits.report_fit("configuration: compute a change", "us", "server", change)
-
-
-def _create_configuration(servers: int) -> model.Configuration:
-    items = [
-        _compilers.check_resource(item)
-        for item in _create_server_objects(servers)
-    ]
-    return model.Configuration(
-        number=1,
-        servers={
-            item.metadata.name: item
-            for item in items
-            if isinstance(item, model.BackendServer)
-        },
-        searches={
-            "search": model.Search(metadata=model.Metadata(name="search"))
-        },
-    )
-
-
-def _create_server_objects(
-    servers: int,
-) -> Iterable[store.StoredObject]:
-    for number in range(servers):
-        yield store.create_object(
-            "BackendServer",
-            f"server-{number}",
-            {
-                "failureDomain": f"domain-{number % 6}",
-                "address": f"10.0.0.1:{number}",
-                "searches": ["search"],
-            },
-        )
-
-
 def measure_plan() -> None:
     """Measures the choice of snapshot and servers by the shards of a query."""
     points = []
@@ -391,7 +310,7 @@
         points.append(
             (
                 float(shards),
-                _time_us(
+                _timings.time_us(
                     functools.partial(
                         policy.collect_snapshots, "search", records
                     )
@@ -409,7 +328,7 @@
     "entry-leg": measure_entry_leg,
     "server-leg": measure_server_leg,
     "exchange": measure_exchange,
-    "configuration": measure_configuration,
+    "configuration": _configurationcosts.measure_configuration,
     "plan": measure_plan,
     "idle": _livecosts.measure_idle,
     "load": _livecosts.measure_load,
