Let one rule say when parts are enough, and one function load settings

The least coverage was checked twice, with and without room for rounding; the missing shards were described three times for an answer; running attempts were excluded twice when a server is chosen; reading and checking a settings file stood in daemon and adapter. Change: Route.is_enough, base.load_settings, one description, one exclusion. A fan-out whose usable shards are just the least share can no longer be refused for rounding; all else stays as it is. No test changed.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -25,6 +25,7 @@
 from cowslipvalve_base._errors import AlreadyExistsError
 from cowslipvalve_base._errors import NotFoundError
 from cowslipvalve_base._events import log_event
+from cowslipvalve_base._files import load_settings
 from cowslipvalve_base._outcomes import Outcome
 from cowslipvalve_base._outcomes import Reason
 from cowslipvalve_base._outcomes import RETRYABLE
@@ -55,6 +56,7 @@
     "encode",
     "encode_plain",
     "from_plain",
+    "load_settings",
     "log_event",
     "split_address",
     "to_camel_case",
--- a/packages/daemon/cowslipvalve_daemon/_settings.py
+++ b/packages/daemon/cowslipvalve_daemon/_settings.py
@@ -1,8 +1,5 @@
 """The settings of the daemon."""
 
-import pathlib
-from typing import Any
-
 import attrs
 
 import cowslipvalve_model as model
@@ -104,16 +101,4 @@
       SettingsError: The file is missing, is not JSON, or has bad fields; the
         message names each field and says what to write.
     """
-    try:
-        text = pathlib.Path(path).read_bytes()
-        plain: Any = model.decode_plain(text)
-        return model.check_plain(Settings, plain)
-    except OSError as error:
-        raise model.SettingsError(
-            f"{path}: cannot be read: {error.strerror}; name a readable file",
-            step="read-settings",
-        ) from error
-    except model.InputError as error:
-        raise model.SettingsError(
-            f"{path}: {error}", step="check-settings"
-        ) from error
+    return model.load_settings(Settings, path)
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -9,7 +9,6 @@
 from cowslipvalve_gateway import _servicecalls
 from cowslipvalve_gateway import _singlecalls
 
-_ROUNDING = 1e-9
 _MAX_DARK = 3  # More shards at once are rather a fault of this host.
 _RETURN_TARGET_SHARE = 0.08  # 20 of 347 ms came late where hosts were busy.
 _RETURN_MS = 20.0  # Of the target, the caller's way, the merge and its queue.
@@ -67,7 +66,7 @@
         except asyncio.CancelledError:
             self._abandon()
             raise
-        if self._is_enough(len(self._parts)):
+        if self._route.is_enough(len(self._parts)):
             self._give_up_rest()
             return self._merge()
         self._abandon()
@@ -91,14 +90,16 @@
         total = len(self._calls)
         if len(self._parts) + self._failed >= total:
             return True
-        if not self._is_enough(total - self._failed):
+        if not self._route.is_enough(total - self._failed):
             return True
-        if self._is_enough(len(self._parts)) and self._is_rest_dark():
+        if self._route.is_enough(len(self._parts)) and self._is_rest_dark():
             return True
         now_ms = self._tools.clock.now_ms()
         if now_ms >= self._deadline_ms:
             return True
-        return now_ms >= self._target_ms and self._is_enough(len(self._parts))
+        return now_ms >= self._target_ms and self._route.is_enough(
+            len(self._parts)
+        )
 
     def _is_rest_dark(self) -> bool:
         """Whether only shards are left whose servers answer nobody."""
@@ -113,12 +114,6 @@
             return min(self._target_ms, self._deadline_ms)
         return self._deadline_ms
 
-    def _is_enough(self, parts: int) -> bool:
-        if parts == 0:
-            return False
-        share = parts / len(self._calls)
-        return share >= self._route.min_coverage - _ROUNDING
-
     def _merge(self) -> _calls.MergedAnswer:
         return _calls.MergedAnswer(
             proofs=tuple(part.proof for part in self._parts),
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -75,7 +75,7 @@
                 self._tools, request, route, service, deadline_ms
             )
         usable = self._count_usable(route)
-        if not usable or usable < route.min_coverage * len(route.shards):
+        if not route.is_enough(usable):
             base.log_event(
                 _logger,
                 "too-few-shards",
@@ -87,15 +87,16 @@
             return _singlecalls.refuse(_calls.RefusalReason.NO_SERVER, False)
         fan_out = _fanouts.FanOut(self._tools, request, route, deadline_ms)
         outcome = await fan_out.run()
-        if fan_out.unanswered:
+        unanswered = fan_out.unanswered
+        if unanswered:
             self._tools.measurements.count(
-                "missing_shards", route.name, len(fan_out.unanswered)
+                "missing_shards", route.name, len(unanswered)
             )
             base.log_event(
                 _logger,
                 "shards-missing",
                 request=request.request_id,
-                shards=",".join(fan_out.unanswered),
+                shards=",".join(unanswered),
                 attempts=fan_out.attempts,
             )
         return outcome
--- a/packages/gateway/cowslipvalve_gateway/_resources.py
+++ b/packages/gateway/cowslipvalve_gateway/_resources.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+_ROUNDING = 1e-9  # Shares such as 0.7 have no exact binary form.
+
 
 @attrs.frozen(kw_only=True)
 class Share:
@@ -56,6 +58,13 @@
         """Returns the names of all services of the route."""
         return self.shards or tuple(share.service for share in self.split)
 
+    def is_enough(self, parts: int) -> bool:
+        """Whether so many parts of a fan-out make an answer a success."""
+        if parts == 0:
+            return False
+        share = parts / len(self.shards)
+        return share >= self.min_coverage - _ROUNDING
+
 
 @attrs.frozen(kw_only=True)
 class Service:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -157,9 +157,8 @@
         unsent = sum(1 for a in self._running if a.sent_ms is None)
         if self.attempts + unsent >= self._route.max_attempts:
             return False
-        running = [attempt.view for attempt in self._running]
         view = self._tools.selector.choose(
-            self._route, self.service, (*self._tried, *running)
+            self._route, self.service, self._tried
         )
         if view is None:
             return False
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -9,6 +9,7 @@
 from cowslipvalve_model._calls import Ticket
 from cowslipvalve_model._calls import OrderAnswer
 from cowslipvalve_model._calls import Failure
+from cowslipvalve_base import load_settings
 from cowslipvalve_base import split_address
 from cowslipvalve_base import Clock
 from cowslipvalve_base import create_clock
@@ -183,6 +184,7 @@
     "encode",
     "encode_plain",
     "from_plain",
+    "load_settings",
     "log_event",
     "split_address",
     "to_camel_case",
