Close the daemon's connections after its services have stopped

Cause: the service library runs on_stop before it stops the child services. Daemon and Host closed their HTTP sessions there, so a heartbeat or a store call that came between ended with 'Session is closed', which is no client error: the service crashed and the exit status was 1.

Ruled out: the request itself (answered whole), the drain (ended at 12:46:07, the crash came at 12:46:11).

Change: sessions are closed in on_shutdown, which runs last. A readiness time-out of the stand-ins now says what was not ready.

--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -125,9 +125,12 @@
         await parts.heartbeats.push()
 
     async def on_stop(self) -> None:
-        """Closes all interfaces and connections."""
+        """Closes all interfaces."""
         for runner in reversed(self._runners):
             await runner.cleanup()
+
+    async def on_shutdown(self) -> None:
+        """Closes the connections, which the services used until they ended."""
         if self._parts is not None:
             await self._parts.transport.session.close()
             await self._parts.platform_session.close()
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -178,10 +178,10 @@
             _READY_TIMEOUT_MS
         )
         for name in names or self.hosts:
-            while not await self._is_ready(name, search):
+            while reason := await self._explain_unready(name, search):
                 if asyncio.get_running_loop().time() > deadline:
                     log = self.log_path(name).read_text()[-2_000:]
-                    raise TimeoutError(f"{name} did not get ready: {log}")
+                    raise TimeoutError(f"{name} not ready, {reason}: {log}")
                 await asyncio.sleep(model.to_seconds(_POLL_MS))
 
     async def query(
@@ -253,20 +253,22 @@
             result: dict[str, Any] = orjson.loads(text) if text else {}
             return result
 
-    async def _is_ready(self, name: str, search: str) -> bool:
+    async def _explain_unready(self, name: str, search: str) -> str:
+        """Returns why a host or a search is not ready, empty if it is."""
         port = self.hosts[name].operations_port
         try:
             async with self.session.get(
                 f"http://{_LOCAL}:{port}/readyz"
             ) as response:
                 if response.status != 200:  # noqa: PLR2004
-                    return False
+                    return await response.text()
             if not search:
-                return True
+                return ""
             status, answer = await self.query(name, search, "ready")
-            return status == 200 and not answer["coverage"]["missing"]  # noqa: PLR2004
-        except aiohttp.ClientError:
-            return False
+        except aiohttp.ClientError as error:
+            return repr(error)
+        is_whole = status == 200 and not answer["coverage"]["missing"]  # noqa: PLR2004
+        return "" if is_whole else f"status {status}, {answer}"
 
     async def _start_standins(self) -> None:
         self._processes.append(
