Let a few hosts watch the store and tell the others

Change: a few hosts of each failure domain, chosen by rendezvous over the host records, watch the store and probe it each 500 ms by a stale read (a tenth of the price); the others ask one of them twice a second by HTTP and JSON on the control address, with the revisions that they know. A host that finds no source whose state was confirmed within 1.5 s watches the store itself. The log of changes is the same whatever the source, so that nothing goes back. Host records are a kind of state like the others and replace the count.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -29,6 +29,8 @@
 from cowslipvalve_base._outcomes import Outcome
 from cowslipvalve_base._outcomes import Reason
 from cowslipvalve_base._outcomes import RETRYABLE
+from cowslipvalve_base._rendezvous import rank_names
+from cowslipvalve_base._rendezvous import choose_name
 from cowslipvalve_base._texts import Text
 
 __all__ = [
@@ -50,6 +52,7 @@
     "Text",
     "UnknownOutcomeError",
     "check_plain",
+    "choose_name",
     "create_clock",
     "decode",
     "decode_plain",
@@ -58,6 +61,7 @@
     "from_plain",
     "load_settings",
     "log_event",
+    "rank_names",
     "split_address",
     "to_camel_case",
     "to_plain",
--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -18,8 +18,16 @@
 from cowslipvalve_gateway._errors import MisdirectedError
 from cowslipvalve_gateway._errors import LostAnswerError
 from cowslipvalve_gateway._errors import HistoryGoneError
+from cowslipvalve_gateway._errors import HostUnavailableError
+from cowslipvalve_gateway._followers import StateFollower
+from cowslipvalve_gateway._followers import StateSources
+from cowslipvalve_gateway._followers import create_state_follower
 from cowslipvalve_gateway._gateways import Gateway
 from cowslipvalve_gateway._gateways import create_gateway
+from cowslipvalve_gateway._hostclients import HostClient
+from cowslipvalve_gateway._hostclients import StateApi
+from cowslipvalve_gateway._hostclients import create_host_client
+from cowslipvalve_gateway._hostclients import create_state_api
 from cowslipvalve_gateway._logs import VolumeFilter
 from cowslipvalve_gateway._logs import start_logs
 from cowslipvalve_gateway._measurements import Measurements
@@ -28,6 +36,9 @@
 from cowslipvalve_gateway._merges import merge_records
 from cowslipvalve_gateway._pools import ServerPool
 from cowslipvalve_gateway._pools import create_server_pool
+from cowslipvalve_gateway._replicas import StateMessage
+from cowslipvalve_gateway._replicas import StateReplica
+from cowslipvalve_gateway._replicas import create_state_replica
 from cowslipvalve_gateway._resources import Share
 from cowslipvalve_gateway._resources import Route
 from cowslipvalve_gateway._resources import Service
@@ -35,6 +46,7 @@
 from cowslipvalve_gateway._resources import RoutingTable
 from cowslipvalve_gateway._resources import ServerState
 from cowslipvalve_gateway._resources import Server
+from cowslipvalve_gateway._resources import HostRecord
 from cowslipvalve_gateway._selectors import Selector
 from cowslipvalve_gateway._selectors import create_selector
 from cowslipvalve_gateway._serverclients import ServerProtocol
@@ -47,8 +59,11 @@
 from cowslipvalve_gateway._stores import Item
 from cowslipvalve_gateway._stores import Listing
 from cowslipvalve_gateway._stores import StateStore
-from cowslipvalve_gateway._watchers import StateWatcher
-from cowslipvalve_gateway._watchers import create_state_watcher
+from cowslipvalve_gateway._upkeeps import CatalogUpkeep
+from cowslipvalve_gateway._upkeeps import create_catalog_upkeep
+from cowslipvalve_gateway._watcherchoices import WatcherChoice
+from cowslipvalve_gateway._watcherchoices import choose_watchers
+from cowslipvalve_gateway._watcherchoices import create_watcher_choice
 
 __all__ = [
     "AttemptBudget",
@@ -57,8 +72,12 @@
     "CallerLimits",
     "CallerRequest",
     "Catalog",
+    "CatalogUpkeep",
     "Gateway",
     "HistoryGoneError",
+    "HostClient",
+    "HostRecord",
+    "HostUnavailableError",
     "Item",
     "Kind",
     "Listing",
@@ -85,19 +104,30 @@
     "Service",
     "Share",
     "Splitter",
+    "StateApi",
+    "StateFollower",
+    "StateMessage",
+    "StateReplica",
+    "StateSources",
     "StateStore",
-    "StateWatcher",
     "UnsentError",
     "VolumeFilter",
+    "WatcherChoice",
+    "choose_watchers",
     "create_attempt_budget",
     "create_catalog",
+    "create_catalog_upkeep",
     "create_gateway",
+    "create_host_client",
     "create_measurements",
     "create_selector",
     "create_server_client",
     "create_server_pool",
     "create_splitter",
-    "create_state_watcher",
+    "create_state_api",
+    "create_state_follower",
+    "create_state_replica",
+    "create_watcher_choice",
     "merge_records",
     "start_logs",
 ]
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -36,7 +36,7 @@
         self._by_service: dict[str, list[_servers.ServerView]] = {}
         self._departures: dict[str, _Departure] = {}
         self.domains_out: frozenset[str] = frozenset()
-        self.hosts = _DEFAULT_HOSTS
+        self.hosts: dict[str, _resources.HostRecord] = {}
         self.has_servers = False
         self._completed = asyncio.Event()
 
@@ -80,7 +80,7 @@
         It is 0 where there is no bound.
         """
         found = self.table.services.get(service) if self.table else None
-        return found.cold_rate / self.hosts if found else 0.0
+        return found.cold_rate / self.host_count if found else 0.0
 
     async def wait_until_complete(self, timeout_ms: float) -> bool:
         """Waits until requests can be served; returns whether they can."""
@@ -106,11 +106,20 @@
             view.pool.max_connections = self._connection_share(view.server)
         base.log_event(_logger, "configuration", old=old, version=table.version)
 
-    def set_hosts(self, count: int) -> None:
-        """Takes the number of hosts that share the bounds."""
-        if count != self.hosts:
-            base.log_event(_logger, "hosts", old=self.hosts, count=count)
-        self.hosts = count
+    @property
+    def host_count(self) -> int:
+        """Returns the number of hosts that share the bounds."""
+        return len(self.hosts) or _DEFAULT_HOSTS
+
+    def set_hosts(self, hosts: dict[str, _resources.HostRecord]) -> None:
+        """Takes the hosts of the deployment."""
+        old = self.host_count
+        self.hosts = hosts
+        if self.host_count == old:
+            return
+        base.log_event(_logger, "hosts", old=old, count=self.host_count)
+        for view in self._views.values():
+            view.pool.max_connections = self._connection_share(view.server)
 
     def set_domains_out(self, domains: frozenset[str]) -> None:
         """Takes the failure domains that get no work."""
@@ -226,7 +235,7 @@
         )
         if service is None:
             return _MIN_CONNECTIONS
-        return max(_MIN_CONNECTIONS, service.max_connections // self.hosts)
+        return max(_MIN_CONNECTIONS, service.max_connections // self.host_count)
 
 
 def create_catalog(clock: base.Clock, regions: dict[str, str]) -> Catalog:
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -25,3 +25,7 @@
 
 class HistoryGoneError(base.PlatformError):
     """The store no longer has the changes since a revision; list again."""
+
+
+class HostUnavailableError(base.CowslipvalveError):
+    """Another host did not tell its state; ask the next one or the store."""
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -0,0 +1,266 @@
+"""Keeps the state of this host current, through other hosts or the store.
+
+A few hosts of each failure domain watch the store; the others ask one of them
+twice a second. A host that finds none with fresh state watches the store
+itself until one is back.
+"""
+
+import asyncio
+import logging
+
+import attrs
+import mode
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hostclients
+from cowslipvalve_gateway import _replicas
+from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _stores
+from cowslipvalve_gateway import _watcherchoices
+from cowslipvalve_gateway import _watchers
+
+# A change is due everywhere within 3 s at the strictest deployment. Half of it
+# may pass unnoticed; the rest suffices to find another source and to ask it.
+_STALE_MS = 1_500.0
+_WAIT_MS = 500
+_SILENT_MS = 900.0  # The wait, and a round trip between far regions.
+_FIRST_ANSWER_MS = 400.0  # A host that is slower is no good source.
+_SEEDS_START_MS = 600.0  # All hosts of a deployment start within 0.3 s.
+_SEEDS_RETRY_MS = 60.0
+_RETRY_MS = 400.0
+_RETURN_MS = 1_500.0  # Watchers have the store back one probe later.
+_PROBE_TIMEOUT_MS = 600.0  # The slowest days answer in 0.4 s.
+_CHECK_MS = 500.0
+_SUBSTITUTE_MS = 3_000.0  # Each change of source costs some calls.
+_NEAR_RETRY_MS = 5_000.0
+_FIRST_BACKOFF_MS = 100.0
+_MAX_BACKOFF_MS = 2_000.0
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class StateSources:
+    """Where a host may learn the state from."""
+
+    # The platform's store.
+    store: _stores.StateStore
+    # Reaches the other hosts.
+    hosts: _hostclients.HostClient
+    # Which of the hosts to ask, and whether this one is to watch.
+    choice: _watcherchoices.WatcherChoice
+
+
+class StateFollower(mode.Service):
+    """Follows the freshest source that is near."""
+
+    def __init__(
+        self,
+        sources: StateSources,
+        replica: _replicas.StateReplica,
+        own: _resources.HostRecord,
+        clock: base.Clock,
+    ) -> None:
+        super().__init__()
+        self._sources = sources
+        self._replica = replica
+        self._own = own
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self._store_lost_ms = float("-inf")
+        self._near_tried_ms = float("-inf")
+
+    async def leave(self) -> None:
+        """Removes the record of this host; its share goes to the others."""
+        try:
+            await self._sources.store.unregister_host(self._own.name)
+        except base.PlatformError as error:
+            base.log_event(
+                _logger, "unregister-failed", logging.WARNING, error=error
+            )
+
+    @mode.Service.task
+    async def _register(self) -> None:
+        """Records this host, so that the others count and ask it."""
+        backoff_ms = _FIRST_BACKOFF_MS
+        while not self.should_stop:
+            try:
+                await self._sources.store.register_host(self._own)
+                return
+            except base.PlatformError as error:
+                base.log_event(
+                    _logger, "register-failed", logging.WARNING, error=error
+                )
+            await self._clock.sleep_ms(backoff_ms)
+            backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        source = None
+        while not self.should_stop:
+            if self._is_watcher():
+                source = await self._watch("chosen")
+                continue
+            source = source or await self._find_source()
+            if source is not None:
+                await self._stay_with(source)
+                source = None
+            elif self._may_find_seeds():
+                await self._clock.sleep_ms(_SEEDS_RETRY_MS)
+            elif not self._replica.catalog.is_complete:
+                source = await self._watch("no state yet")
+            elif await self._can_substitute():
+                source = await self._watch("no host has fresh state")
+            else:
+                await self._clock.sleep_ms(_RETRY_MS)
+
+    def _is_watcher(self) -> bool:
+        return self._sources.choice.is_watcher(self._replica.catalog.hosts)
+
+    def _near_sources(self) -> list[str]:
+        return self._sources.choice.near_sources(self._replica.catalog.hosts)
+
+    def _may_find_seeds(self) -> bool:
+        """Whether the seeds may only need time to start."""
+        if self._replica.catalog.hosts or not self._sources.choice.seeds:
+            return False
+        waited_ms = self._clock.now_ms() - self._started_ms
+        return waited_ms < _SEEDS_START_MS
+
+    async def _can_substitute(self) -> bool:
+        """Whether the store answers this host while no watcher is fresh."""
+        try:
+            await self._sources.store.probe(_PROBE_TIMEOUT_MS)
+        except base.PlatformError as error:
+            base.log_event(
+                _logger, "store-unreachable", logging.WARNING, error=error
+            )
+            self._store_lost_ms = self._clock.now_ms()
+            return False
+        # After an outage the watchers come first; all hosts at once would
+        # cost the store more than the outage saved.
+        lost_for_ms = self._clock.now_ms() - self._store_lost_ms
+        return lost_for_ms > _RETURN_MS
+
+    async def _watch(self, reason: str) -> str | None:
+        """Watches the store until another host does; returns its address."""
+        base.log_event(_logger, "watching-store", reason=reason)
+        watcher = _watchers.create_store_watcher(
+            self._sources.store, self._replica, self._clock
+        )
+        task = asyncio.ensure_future(watcher.run())
+        try:
+            return await self._find_relief(task)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _find_relief(self, task: asyncio.Future[None]) -> str | None:
+        asked_ms = self._clock.now_ms()
+        while True:
+            await asyncio.wait((task,), timeout=base.to_seconds(_CHECK_MS))
+            if task.done():
+                task.result()  # Raises what ended it.
+            is_stale = self._replica.age_ms > _STALE_MS
+            is_watcher = self._is_watcher()
+            waited_ms = self._clock.now_ms() - asked_ms
+            if not is_stale and (is_watcher or waited_ms < _SUBSTITUTE_MS):
+                continue
+            asked_ms = self._clock.now_ms()
+            source = await self._find_source()
+            if source is not None and not is_watcher:
+                return source
+
+    async def _find_source(self) -> str | None:
+        """Asks all candidates at once; returns one with fresh state."""
+        near = self._near_sources()
+        far = self._sources.choice.far_sources(self._replica.catalog.hosts)
+        self._near_tried_ms = self._clock.now_ms()
+        asked = {
+            asyncio.ensure_future(self._ask(address)): address
+            for address in dict.fromkeys((*near, *far))
+        }
+        found: str | None = None
+        pending = set(asked)
+        while pending and not (found and _are_done(asked, near)):
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                if task.result() and (found is None or asked[task] in near):
+                    found = asked[task]
+            if found in near:
+                break
+        for task in pending:
+            task.cancel()
+        return found
+
+    async def _ask(self, address: str) -> bool:
+        """Takes the state of a host; returns whether it is a fresh source."""
+        try:
+            message = await self._sources.hosts.fetch(
+                address, self._replica.log.revisions, 0, _FIRST_ANSWER_MS
+            )
+        except _errors.HostUnavailableError as error:
+            base.log_event(
+                _logger, "host-not-asked", logging.DEBUG, error=error
+            )
+            return False
+        self._replica.take_message(message)
+        return message.is_watching and message.age_ms <= _STALE_MS
+
+    async def _stay_with(self, source: str) -> None:
+        """Follows a host while its state is fresh and no nearer one is."""
+        base.log_event(
+            _logger,
+            "following",
+            peer=source,
+            age_ms=round(self._replica.age_ms),
+        )
+        while not self.should_stop and not self._is_watcher():
+            try:
+                message = await self._sources.hosts.fetch(
+                    source, self._replica.log.revisions, _WAIT_MS, _SILENT_MS
+                )
+            except _errors.HostUnavailableError as error:
+                base.log_event(
+                    _logger, "source-lost", logging.WARNING, error=error
+                )
+                return
+            self._replica.take_message(message)
+            if not message.is_watching or message.age_ms > _STALE_MS:
+                base.log_event(
+                    _logger,
+                    "source-stale",
+                    logging.WARNING,
+                    peer=source,
+                    watching=message.is_watching,
+                    age_ms=round(message.age_ms),
+                )
+                return
+            if self._should_try_near(source):
+                return
+
+    def _should_try_near(self, source: str) -> bool:
+        tried_ms = self._clock.now_ms() - self._near_tried_ms
+        near = self._near_sources()
+        return bool(near) and source not in near and tried_ms > _NEAR_RETRY_MS
+
+
+def _are_done(
+    asked: dict[asyncio.Task[bool], str], addresses: list[str]
+) -> bool:
+    return all(
+        task.done() for task, address in asked.items() if address in addresses
+    )
+
+
+def create_state_follower(
+    sources: StateSources,
+    replica: _replicas.StateReplica,
+    own: _resources.HostRecord,
+    clock: base.Clock,
+) -> StateFollower:
+    """Returns the service that keeps a replica current."""
+    return StateFollower(sources, replica, own, clock)
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -0,0 +1,112 @@
+"""Asks another host for its state, over HTTP with JSON."""
+
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp import web
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _replicas
+from cowslipvalve_gateway import _statelogs
+from cowslipvalve_gateway import _stores
+
+PATH = "/state"
+_WAIT_FIELD = "waitMs"
+_MAX_WAIT_MS = 5_000
+_HTTP_OK = 200
+_HTTP_BAD_REQUEST = 400
+_HTTP_NOT_FOUND = 404
+
+
+class HostClient:
+    """Fetches state from other hosts."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def fetch(
+        self,
+        address: str,
+        revisions: _statelogs.Revisions,
+        wait_ms: int,
+        timeout_ms: float,
+    ) -> _replicas.StateMessage:
+        """Returns what the host at an address knows beyond some revisions.
+
+        Args:
+          address: Where the host serves its state.
+          revisions: What is known already.
+          wait_ms: How long the host waits for a change.
+          timeout_ms: When the host counts as silent.
+
+        Raises:
+          HostUnavailableError: There was no answer, or an unreadable one.
+        """
+        query = {kind.value: str(value) for kind, value in revisions.items()}
+        query[_WAIT_FIELD] = str(wait_ms)
+        timeout = aiohttp.ClientTimeout(total=base.to_seconds(timeout_ms))
+        try:
+            async with self._session.get(
+                f"http://{address}{PATH}", params=query, timeout=timeout
+            ) as response:
+                text = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise _away(address, repr(error)) from error
+        if response.status != _HTTP_OK:
+            raise _away(address, f"status {response.status}")
+        try:
+            return base.decode(_replicas.StateMessage, text)
+        except base.InputError as error:
+            raise _away(address, str(error)) from error
+
+
+def _away(address: str, cause: str) -> _errors.HostUnavailableError:
+    return _errors.HostUnavailableError(
+        f"the host did not tell its state: {cause}",
+        step="fetch-state",
+        peer=address,
+    )
+
+
+class StateApi:
+    """Answers the other hosts."""
+
+    def __init__(self, replica: _replicas.StateReplica) -> None:
+        self._replica = replica
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Returns what the asking host lacks, at once or after a wait."""
+        if request.path != PATH:
+            return web.Response(status=_HTTP_NOT_FOUND)
+        try:
+            revisions = _read_revisions(request.query)
+            wait_ms = int(request.query.get(_WAIT_FIELD, "0"))
+        except ValueError as error:
+            return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
+        if self._replica.is_watching:
+            await self._replica.log.wait_for_news(
+                revisions, min(wait_ms, _MAX_WAIT_MS)
+            )
+        message = self._replica.build_message(revisions)
+        return web.Response(
+            body=base.encode(message), content_type="application/json"
+        )
+
+
+def _read_revisions(query: Mapping[str, str]) -> dict[_stores.Kind, int]:
+    return {
+        kind: int(query[kind.value])
+        for kind in _stores.Kind
+        if kind.value in query
+    }
+
+
+def create_host_client(session: aiohttp.ClientSession) -> HostClient:
+    """Returns a client that uses a session."""
+    return HostClient(session)
+
+
+def create_state_api(replica: _replicas.StateReplica) -> StateApi:
+    """Returns the interface by which other hosts read a replica."""
+    return StateApi(replica)
--- a/packages/gateway/cowslipvalve_gateway/_resources.py
+++ b/packages/gateway/cowslipvalve_gateway/_resources.py
@@ -148,3 +148,15 @@
         """Whether this was said before what the other says."""
         mine = (self.started_ms, self.sequence)
         return mine < (other.started_ms, other.sequence)
+
+
+@attrs.frozen(kw_only=True)
+class HostRecord:
+    """One host of the deployment."""
+
+    # The name of the host.
+    name: str
+    # The failure domain that it is in.
+    domain: str
+    # Where the other hosts ask it for state; empty if nobody can.
+    state_address: str
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -165,7 +165,7 @@
         # An attempt that is still connecting will be sent, too.
         is_extra = bool(self.attempts or self._running)
         if is_extra and not self._tools.budget(self.service).take(
-            self._tools.catalog.hosts, reserve
+            self._tools.catalog.host_count, reserve
         ):
             return False
         attempt = _Attempt(view=view, is_extra=is_extra)
@@ -355,6 +355,6 @@
             server=view.server.instance_id,
             slowness=f"{view.slowness:.2f}",
             running=view.running,
-            budget=f"{self._tools.budget(self.service).left(self._tools.catalog.hosts):.1f}",
+            budget=f"{self._tools.budget(self.service).left(self._tools.catalog.host_count):.1f}",
             **fields,
         )
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_statelogs.py
@@ -0,0 +1,134 @@
+"""The state that a host knows, with the latest changes for other hosts."""
+
+import asyncio
+from collections.abc import Mapping
+
+import attrs
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _stores
+
+_MAX_DELETIONS = 1_000  # Two replacements of all servers of a large site.
+
+Revisions = Mapping[_stores.Kind, int]
+
+
+@attrs.frozen
+class _Entry:
+    """An object, or its deletion, and the revision at which it was learned."""
+
+    revision: int
+    item: _stores.Item
+
+
+class _KindLog:
+    """The objects of one kind."""
+
+    def __init__(self) -> None:
+        self.revision = -1
+        # A reader that is behind this revision needs a whole listing.
+        self._oldest = -1
+        # In the order in which they were learned.
+        self._entries: dict[str, _Entry] = {}
+        self._deletions = 0
+
+    def add(self, listing: _stores.Listing) -> None:
+        if listing.is_whole:
+            self._entries.clear()
+            self._deletions = 0
+            self._oldest = listing.revision
+        self.revision = listing.revision
+        for item in listing.items:
+            old = self._entries.pop(item.name, None)
+            if old is not None and not old.item.is_valid:
+                self._deletions -= 1
+            if not item.is_valid:
+                self._deletions += 1
+            self._entries[item.name] = _Entry(listing.revision, item)
+        if self._deletions > _MAX_DELETIONS:
+            self._forget_deletions()
+
+    def read_after(self, revision: int) -> _stores.Listing:
+        is_whole = revision < self._oldest
+        items = tuple(
+            entry.item
+            for entry in self._entries.values()
+            if (entry.item.is_valid if is_whole else entry.revision > revision)
+        )
+        return _stores.Listing(
+            items=items, revision=self.revision, is_whole=is_whole
+        )
+
+    def _forget_deletions(self) -> None:
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.item.is_valid
+        }
+        self._deletions = 0
+        self._oldest = self.revision
+
+
+class StateLog:
+    """Holds all kinds of state; revisions never go back."""
+
+    def __init__(self) -> None:
+        self._logs = {kind: _KindLog() for kind in _stores.Kind}
+        self._changed = asyncio.Event()
+
+    @property
+    def revisions(self) -> dict[_stores.Kind, int]:
+        """Returns the revision of each kind that is known."""
+        return {
+            kind: log.revision
+            for kind, log in self._logs.items()
+            if log.revision >= 0
+        }
+
+    def revision(self, kind: _stores.Kind) -> int | None:
+        """Returns the revision up to which a kind is known, if it is."""
+        revision = self._logs[kind].revision
+        return revision if revision >= 0 else None
+
+    def add(self, kind: _stores.Kind, listing: _stores.Listing) -> bool:
+        """Takes a listing; returns whether it was new enough to be taken."""
+        log = self._logs[kind]
+        if listing.revision < log.revision:
+            return False
+        log.add(listing)
+        if listing.items:
+            self._changed.set()
+            self._changed = asyncio.Event()
+        return True
+
+    def read_after(
+        self, revisions: Revisions
+    ) -> dict[_stores.Kind, _stores.Listing]:
+        """Returns what a reader lacks that knows some revisions."""
+        return {
+            kind: log.read_after(revisions.get(kind, -1))
+            for kind, log in self._logs.items()
+            if log.revision > revisions.get(kind, -1)
+        }
+
+    async def wait_for_news(
+        self, revisions: Revisions, timeout_ms: float
+    ) -> None:
+        """Waits until a reader lacks an object, or for the time."""
+        try:
+            async with asyncio.timeout(base.to_seconds(timeout_ms)):
+                while not self._has_news(revisions):
+                    await self._changed.wait()
+        except TimeoutError:
+            return  # The reader learns that nothing has changed.
+
+    def _has_news(self, revisions: Revisions) -> bool:
+        return any(
+            listing.items or listing.is_whole
+            for listing in self.read_after(revisions).values()
+        )
+
+
+def create_state_log() -> StateLog:
+    """Returns a log that knows nothing."""
+    return StateLog()
--- a/packages/gateway/cowslipvalve_gateway/_stores.py
+++ b/packages/gateway/cowslipvalve_gateway/_stores.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from cowslipvalve_gateway import _resources
+
 
 class Kind(enum.Enum):
     """The kinds of state that are followed."""
@@ -12,19 +14,23 @@
     CONFIGURATION = "configuration"
     SERVERS = "servers"
     DOMAINS_OUT = "domains-out"
+    HOSTS = "hosts"
 
 
 @attrs.frozen(kw_only=True)
 class Item:
-    """One object, decoded."""
+    """One object, decoded; at most one of the contents is there."""
 
     # The name of the object.
     name: str
-    # A RoutingTable, a Server, or None for a kind without content; also None
-    # when the object is deleted or cannot be read.
-    value: object | None
     # Whether the object is there and can be read.
     is_valid: bool
+    # What an object of the kind CONFIGURATION holds.
+    table: _resources.RoutingTable | None = None
+    # What an object of the kind SERVERS holds.
+    server: _resources.Server | None = None
+    # What an object of the kind HOSTS holds.
+    host: _resources.HostRecord | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -35,10 +41,12 @@
     items: tuple[Item, ...]
     # The store's revision from which a watch goes on.
     revision: int
+    # Whether objects that are not named do not exist.
+    is_whole: bool
 
 
 class StateStore(Protocol):
-    """Reads of the platform's store.
+    """Access to the platform's store.
 
     Every method raises PlatformUnavailableError when there is no answer, and
     watch raises HistoryGoneError when the revision is too old.
@@ -50,11 +58,11 @@
     async def watch(self, kind: Kind, revision: int, wait_ms: int) -> Listing:
         """Returns the changes after a revision, none after the wait."""
 
-    async def register_host(self, name: str) -> None:
+    async def probe(self, timeout_ms: float) -> None:
+        """Returns if the store answers; costs a tenth of another call."""
+
+    async def register_host(self, record: _resources.HostRecord) -> None:
         """Records this host among the hosts of the deployment."""
 
     async def unregister_host(self, name: str) -> None:
         """Removes the record of this host."""
-
-    async def count_hosts(self) -> int:
-        """Returns the number of recorded hosts."""
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -0,0 +1,97 @@
+"""Which hosts follow the store, and whom the others ask."""
+
+from collections.abc import Iterable, Mapping
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _resources
+
+_KEY = "store-watcher"
+# Each follower asks twice a second, which takes 1 ms of processor each time.
+_FOLLOWERS_PER_WATCHER = 24
+
+
+def choose_watchers(
+    hosts: Mapping[str, _resources.HostRecord], domain: str
+) -> list[_resources.HostRecord]:
+    """Returns the hosts of a failure domain that are to follow the store."""
+    names = [h.name for h in hosts.values() if h.domain == domain]
+    count = -(-len(names) // _FOLLOWERS_PER_WATCHER)
+    return [hosts[name] for name in base.rank_names(names, _KEY)[:count]]
+
+
+class WatcherChoice:
+    """Decides for one host, from the records of all hosts.
+
+    Attributes:
+      seeds: Addresses of some hosts, which may be stale.
+    """
+
+    def __init__(
+        self,
+        own: _resources.HostRecord,
+        seeds: Iterable[str],
+        regions: Mapping[str, str],
+    ) -> None:
+        self._own = own
+        self.seeds = tuple(seeds)
+        self._regions = regions
+
+    def is_watcher(self, hosts: Mapping[str, _resources.HostRecord]) -> bool:
+        """Whether this host is to follow the store.
+
+        Until hosts are known, the seeds do.
+        """
+        if not hosts:
+            return self._own.state_address in self.seeds
+        watchers = choose_watchers(
+            {**hosts, self._own.name: self._own}, self._own.domain
+        )
+        return any(watcher.name == self._own.name for watcher in watchers)
+
+    def near_sources(
+        self, hosts: Mapping[str, _resources.HostRecord]
+    ) -> list[str]:
+        """Returns the addresses of the watchers of the own domain."""
+        watchers = choose_watchers(hosts, self._own.domain)
+        ranked = base.rank_names(
+            (w.state_address for w in watchers), self._own.name
+        )
+        return self._drop_own(ranked)
+
+    def far_sources(
+        self, hosts: Mapping[str, _resources.HostRecord]
+    ) -> list[str]:
+        """Returns one watcher of each other domain, and the seeds."""
+        region = self._regions.get(self._own.domain, "")
+        domains = {h.domain for h in hosts.values()} - {self._own.domain}
+        ordered = sorted(
+            domains, key=lambda d: (self._regions.get(d) != region, d)
+        )
+        found: list[str] = []
+        for domain in ordered:
+            watchers = choose_watchers(hosts, domain)
+            ranked = base.rank_names(
+                (w.state_address for w in watchers), self._own.name
+            )
+            found.extend(ranked[:1])
+        return self._drop_own([*found, *self.seeds])
+
+    def _drop_own(self, addresses: Iterable[str]) -> list[str]:
+        unique = dict.fromkeys(address for address in addresses if address)
+        unique.pop(self._own.state_address, None)
+        return list(unique)
+
+
+def create_watcher_choice(
+    own: _resources.HostRecord,
+    seeds: Iterable[str],
+    regions: Mapping[str, str],
+) -> WatcherChoice:
+    """Returns the choice of a host.
+
+    Args:
+      own: The record of this host.
+      seeds: Addresses of some hosts, which may be stale.
+      regions: The region of each failure domain.
+    """
+    return WatcherChoice(own, seeds, regions)
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -1,16 +1,14 @@
-"""Follows the platform's store and keeps the catalog current."""
+"""Follows the platform's store itself, on behalf of other hosts too."""
 
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
 
-import mode
+import attrs
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _replicas
 from cowslipvalve_gateway import _stores
 
 # Bounds how long a watch that fell silent hides changes. Each wait costs one
@@ -19,186 +17,165 @@
     _stores.Kind.CONFIGURATION: 4_000,
     _stores.Kind.SERVERS: 4_000,
     _stores.Kind.DOMAINS_OUT: 6_000,
+    _stores.Kind.HOSTS: 10_000,  # A silent one only makes shares inexact.
 }
 _PROBE_WAIT_MS = 1
-# Registrations come in bursts; waiting for the rest of one saves calls.
-_BURST_MS = 300.0
+# Changes come in bursts; waiting for the rest of one saves calls.
+_BURST_MS = {
+    _stores.Kind.CONFIGURATION: 0.0,
+    _stores.Kind.SERVERS: 300.0,
+    _stores.Kind.DOMAINS_OUT: 0.0,
+    _stores.Kind.HOSTS: 2_000.0,  # Hosts restart one after the other.
+}
+# Without these the state is not confirmed; hosts only make shares exact.
+_VITAL = frozenset(_stores.Kind) - {_stores.Kind.HOSTS}
 _FIRST_BACKOFF_MS = 100.0
 _MAX_BACKOFF_MS = 1_000.0  # An outage ends unannounced.
-_RETURN_GRACE_MS = 2_500.0  # Lapsed registrations are back within 2 s.
-_DEPARTURE_CHECK_MS = 250.0
-_PREPARE_CHECK_MS = 100.0
-_PREPARED_AT_ONCE = 8  # More would delay the requests of a host that starts.
-_COUNT_FIRST_MS = 3_000.0  # All hosts of a deployment start together.
-_COUNT_MS = 60_000.0
+# The other hosts bear a state that is 1,500 ms old: two probes and their ways.
+_PROBE_MS = 500.0
+_PROBE_TIMEOUT_MS = 600.0  # The slowest days answer in 0.4 s.
 
 _logger = logging.getLogger(__name__)
 
 
-class StateWatcher(mode.Service):
-    """Lists and watches every kind of state."""
+@attrs.frozen
+class _Watch:
+    """A watch that waits for its answer."""
+
+    task: asyncio.Future[_stores.Listing]
+    # Whether it waits for changes, and not just for a sign of the store.
+    is_long: bool
+
+
+class StoreWatcher:
+    """Lists and watches every kind of state while it runs."""
 
     def __init__(
         self,
         store: _stores.StateStore,
-        catalog: _catalogs.Catalog,
+        replica: _replicas.StateReplica,
         clock: base.Clock,
-        host: str,
     ) -> None:
-        super().__init__()
         self._store = store
-        self._catalog = catalog
+        self._replica = replica
         self._clock = clock
-        self._host = host
-        # For each kind, until when lapsed registrations are still believed.
-        self._grace_until_ms = 0.0
-
-    @mode.Service.task
-    async def _follow_configuration(self) -> None:
-        await self._follow(_stores.Kind.CONFIGURATION)
-
-    @mode.Service.task
-    async def _follow_servers(self) -> None:
-        await self._follow(_stores.Kind.SERVERS)
-
-    @mode.Service.task
-    async def _follow_domains_out(self) -> None:
-        await self._follow(_stores.Kind.DOMAINS_OUT)
-
-    @mode.Service.task
-    async def _remove_departed(self) -> None:
-        while not self.should_stop:
-            await self._clock.sleep_ms(_DEPARTURE_CHECK_MS)
-            self._catalog.remove_departed()
-
-    @mode.Service.task
-    async def _prepare_connections(self) -> None:
-        while not self.should_stop:
-            pools = self._catalog.unprepared_pools()[:_PREPARED_AT_ONCE]
-            await asyncio.gather(*(pool.prepare() for pool in pools))
-            if not pools:
-                await self._clock.sleep_ms(_PREPARE_CHECK_MS)
-
-    @mode.Service.task
-    async def _count_hosts(self) -> None:
-        await self._retry(lambda: self._store.register_host(self._host))
-        await self._clock.sleep_ms(_COUNT_FIRST_MS)
-        while not self.should_stop:
-            await self._retry(self._count_once)
-            await self._clock.sleep_ms(_COUNT_MS)
-
-    async def leave(self) -> None:
-        """Removes the record of this host; its share goes to the others."""
+        # The kinds that the store has answered for since it was last lost.
+        self._confirmed: set[_stores.Kind] = set()
+        self._probed_ms = float("-inf")
+        self._is_lost = False
+        self._watches: dict[_stores.Kind, _Watch] = {}
+
+    async def run(self) -> None:
+        """Follows the store until it is cancelled."""
+        self._replica.is_watching = True
         try:
-            await self._store.unregister_host(self._host)
-        except base.PlatformError as error:
-            base.log_event(
-                _logger, "unregister-failed", logging.WARNING, error=error
-            )
-
-    async def _count_once(self) -> None:
-        self._catalog.set_hosts(max(1, await self._store.count_hosts()))
-
-    async def _retry(self, call: Callable[[], Awaitable[None]]) -> None:
-        backoff_ms = _FIRST_BACKOFF_MS
-        while not self.should_stop:
+            async with asyncio.TaskGroup() as group:
+                for kind in _stores.Kind:
+                    group.create_task(self._follow(kind))
+                group.create_task(self._probe())
+        finally:
+            self._replica.is_watching = False
+
+    async def _probe(self) -> None:
+        """Asks the store often whether it is there.
+
+        A watch alone tells of a cut only when its wait is over.
+        """
+        while True:
+            await self._clock.sleep_ms(_PROBE_MS)
+            sent_ms = self._clock.now_ms()
             try:
-                await call()
-                return
+                await self._store.probe(_PROBE_TIMEOUT_MS)
             except base.PlatformError as error:
-                base.log_event(
-                    _logger, "store-call-failed", logging.WARNING, error=error
-                )
-            backoff_ms = await self._back_off(backoff_ms)
+                self._note_loss("probe", error)
+                continue
+            self._probed_ms = sent_ms
+            if self._is_lost:
+                self._end_long_watches()
+            self._confirm()
 
     async def _follow(self, kind: _stores.Kind) -> None:
-        """Keeps one kind current until the service stops."""
-        revision: int | None = None
+        """Keeps one kind current."""
         backoff_ms = _FIRST_BACKOFF_MS
-        is_lost = False
-        while not self.should_stop:
+        must_list = self._replica.log.revision(kind) is None
+        while True:
+            sent_ms = self._clock.now_ms()
             try:
-                if revision is None:
-                    listing = await self._store.list_objects(kind)
-                else:
-                    # After a loss the first answer tells that it is over.
-                    wait_ms = _PROBE_WAIT_MS if is_lost else _WAIT_MS[kind]
-                    listing = await self._store.watch(kind, revision, wait_ms)
+                listing = await self._call(kind, must_list)
             except _errors.HistoryGoneError as error:
                 base.log_event(
                     _logger, "history-gone", kind=kind.value, error=error
                 )
-                revision = None
+                must_list = True
                 continue
             except base.PlatformError as error:
-                if not is_lost:
-                    base.log_event(
-                        _logger,
-                        "store-lost",
-                        logging.WARNING,
-                        kind=kind.value,
-                        error=error,
-                    )
-                is_lost = True
-                backoff_ms = await self._back_off(backoff_ms)
+                self._note_loss(kind.value, error)
+                await self._clock.sleep_ms(backoff_ms * random.uniform(0.5, 1))
+                backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
+                continue
+            if listing is None:  # A probe has found that the store is back.
                 continue
-            if is_lost:
-                self._grace_until_ms = self._clock.now_ms() + _RETURN_GRACE_MS
-                base.log_event(_logger, "store-regained", kind=kind.value)
-            is_lost = False
+            must_list = False
             backoff_ms = _FIRST_BACKOFF_MS
-            self._apply(kind, listing, is_whole=revision is None)
-            revision = listing.revision
-            if kind is _stores.Kind.SERVERS and listing.items:
-                await self._clock.sleep_ms(_BURST_MS)
-
-    async def _back_off(self, backoff_ms: float) -> float:
-        await self._clock.sleep_ms(backoff_ms * random.uniform(0.5, 1.0))
-        return min(_MAX_BACKOFF_MS, backoff_ms * 2)
-
-    def _apply(
-        self, kind: _stores.Kind, listing: _stores.Listing, is_whole: bool
-    ) -> None:
-        if kind is _stores.Kind.CONFIGURATION:
-            self._apply_configuration(listing)
-        elif kind is _stores.Kind.SERVERS:
-            self._apply_servers(listing, is_whole)
-        else:
-            self._apply_domains_out(listing, is_whole)
-
-    def _apply_configuration(self, listing: _stores.Listing) -> None:
-        for item in listing.items:
-            if isinstance(item.value, _resources.RoutingTable):
-                self._catalog.set_table(item.value)
-
-    def _apply_servers(self, listing: _stores.Listing, is_whole: bool) -> None:
-        grace_ms = max(0.0, self._grace_until_ms - self._clock.now_ms())
-        for item in listing.items:
-            if isinstance(item.value, _resources.Server):
-                self._catalog.put_server(item.value)
-            elif not item.is_valid:
-                self._catalog.drop_server(item.name, grace_ms)
-        if is_whole:
-            names = frozenset(i.name for i in listing.items if i.is_valid)
-            self._catalog.keep_servers(names, grace_ms)
-
-    def _apply_domains_out(
-        self, listing: _stores.Listing, is_whole: bool
-    ) -> None:
-        out = set() if is_whole else set(self._catalog.domains_out)
-        for item in listing.items:
-            if item.is_valid:
-                out.add(item.name)
-            else:
-                out.discard(item.name)
-        self._catalog.set_domains_out(frozenset(out))
+            self._note_answer(kind, sent_ms)
+            self._replica.take(kind, listing)
+            self._confirm()
+            if listing.items:
+                await self._clock.sleep_ms(_BURST_MS[kind])
+
+    async def _call(
+        self, kind: _stores.Kind, must_list: bool
+    ) -> _stores.Listing | None:
+        """Lists or watches; returns nothing if the call was ended early."""
+        revision = self._replica.log.revision(kind)
+        if must_list or revision is None:
+            return await self._store.list_objects(kind)
+        # The first answer after a loss tells that it is over.
+        is_long = kind in self._confirmed
+        wait_ms = _WAIT_MS[kind] if is_long else _PROBE_WAIT_MS
+        task = asyncio.ensure_future(self._store.watch(kind, revision, wait_ms))
+        self._watches[kind] = _Watch(task, is_long)
+        try:
+            await asyncio.wait((task,))
+        finally:
+            del self._watches[kind]
+            task.cancel()
+        return None if task.cancelled() else task.result()
+
+    def _end_long_watches(self) -> None:
+        """Ends the watches whose answer a cut may hold up."""
+        for watch in self._watches.values():
+            if watch.is_long:
+                watch.task.cancel()
+
+    def _note_loss(self, step: str, error: base.PlatformError) -> None:
+        self._confirmed.clear()
+        if not self._is_lost:
+            base.log_event(
+                _logger, "store-lost", logging.WARNING, step=step, error=error
+            )
+        self._is_lost = True
+
+    def _note_answer(self, kind: _stores.Kind, sent_ms: float) -> None:
+        self._confirmed.add(kind)
+        self._probed_ms = max(self._probed_ms, sent_ms)
+        if self._is_lost:
+            self._replica.start_grace()
+        if self._is_lost and self._confirmed >= _VITAL:
+            self._is_lost = False
+            base.log_event(_logger, "store-regained")
+
+    def _confirm(self) -> None:
+        if self._confirmed >= _VITAL:
+            self._replica.confirmed_ms = max(
+                self._replica.confirmed_ms, self._probed_ms
+            )
 
 
-def create_state_watcher(
+def create_store_watcher(
     store: _stores.StateStore,
-    catalog: _catalogs.Catalog,
+    replica: _replicas.StateReplica,
     clock: base.Clock,
-    host: str,
-) -> StateWatcher:
-    """Returns the watcher of a host."""
-    return StateWatcher(store, catalog, clock, host)
+) -> StoreWatcher:
+    """Returns a watcher that is not started."""
+    return StoreWatcher(store, replica, clock)
--- a/packages/policy/cowslipvalve_policy/__init__.py
+++ b/packages/policy/cowslipvalve_policy/__init__.py
@@ -1,5 +1,7 @@
 """Decisions on limits, warm-up, retries, snapshots and quarantine."""
 
+from cowslipvalve_base import rank_names
+from cowslipvalve_base import choose_name
 from cowslipvalve_policy._budgets import ExtraLoadBudget
 from cowslipvalve_policy._budgets import create_budget
 from cowslipvalve_policy._fingerprints import compute_fingerprint
@@ -10,8 +12,6 @@
 from cowslipvalve_policy._fingerprints import create_crash_record
 from cowslipvalve_policy._latencies import LatencyWindow
 from cowslipvalve_policy._latencies import create_latency_window
-from cowslipvalve_policy._rendezvous import rank_names
-from cowslipvalve_policy._rendezvous import choose_name
 from cowslipvalve_policy._snapshots import SnapshotView
 from cowslipvalve_policy._snapshots import collect_snapshots
 from cowslipvalve_policy._snapshots import choose_snapshot
--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -119,7 +119,7 @@
         )
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
-        ports = _deployments.choose_ports(4)
+        ports = _deployments.choose_ports(5)
         await web.TCPSite(runner, "127.0.0.1", ports[0]).start()
         self.addresses = [f"127.0.0.1:{port}" for port in ports]
         self.session = aiohttp.ClientSession(auto_decompress=False)
@@ -159,6 +159,8 @@
             "caller_address": self.addresses[1],
             "ready_address": self.addresses[2],
             "metrics_address": self.addresses[3],
+            "state_address": self.addresses[4],
+            "seeds": (),
             "store_address": self.addresses[0],
             "grace_s": 4.0,
             "budget": adapter.BudgetSettings(ratio=0.2, slack=800, window_s=10),
