--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -35,6 +35,22 @@
     took_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class WireHost:
+    """One of several hosts."""
+
+    # The host.
+    host: adapter.Host
+    # The port by which it reaches the store.
+    store_port: int
+    # Where it takes requests.
+    caller_address: str
+    # Where it reports itself ready.
+    ready_address: str
+    # Where it tells its state.
+    state_address: str
+
+
 def create_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
     """Returns a route of a configuration document."""
     route = {
@@ -118,6 +134,7 @@
             self.store.create_app(), access_log=None, shutdown_timeout=0.1
         )
         await runner.setup()
+        self._runner = runner
         self.addAsyncCleanup(runner.cleanup)
         ports = _deployments.choose_ports(5)
         await web.TCPSite(runner, "127.0.0.1", ports[0]).start()
@@ -151,17 +168,38 @@
         self.store.put("config", "main", plain)
 
     async def start_host(self, **fields: Any) -> adapter.Host:
-        """Starts a host and waits until it is ready."""
+        """Starts the host that the other methods call."""
+        return await self._start(self.addresses, **fields)
+
+    async def add_host(
+        self, name: str, seeds: Sequence[str] = (), domain: str = "kuopio"
+    ) -> WireHost:
+        """Starts a host that reaches the store by a port of its own."""
+        ports = _deployments.choose_ports(5)
+        await web.TCPSite(self._runner, "127.0.0.1", ports[0]).start()
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        host = await self._start(
+            addresses, host=name, failure_domain=domain, seeds=tuple(seeds)
+        )
+        return WireHost(
+            host=host,
+            store_port=ports[0],
+            caller_address=addresses[1],
+            ready_address=addresses[2],
+            state_address=addresses[4],
+        )
+
+    async def _start(self, addresses: list[str], **fields: Any) -> adapter.Host:
         plain = {
             "host": "front-1",
             "failure_domain": "kuopio",
             "regions": {"kuopio": "savo", "rovaniemi": "lappi"},
-            "caller_address": self.addresses[1],
-            "ready_address": self.addresses[2],
-            "metrics_address": self.addresses[3],
-            "state_address": self.addresses[4],
+            "caller_address": addresses[1],
+            "ready_address": addresses[2],
+            "metrics_address": addresses[3],
+            "state_address": addresses[4],
             "seeds": (),
-            "store_address": self.addresses[0],
+            "store_address": addresses[0],
             "grace_s": 4.0,
             "budget": adapter.BudgetSettings(ratio=0.2, slack=800, window_s=10),
         }
@@ -174,9 +212,10 @@
         """Waits until the host reports itself ready."""
         await self.wait_for(self.is_ready)
 
-    async def is_ready(self) -> bool:
-        """Asks the host whether it is ready."""
-        url = f"http://{self.addresses[2]}/cowslipvalve/readiness"
+    async def is_ready(self, host: WireHost | None = None) -> bool:
+        """Asks a host whether it is ready."""
+        address = host.ready_address if host else self.addresses[2]
+        url = f"http://{address}/cowslipvalve/readiness"
         async with self.session.get(url) as response:
             return response.status == 200  # noqa: PLR2004
 
@@ -189,9 +228,15 @@
             await asyncio.sleep(0.02)
 
     async def call(
-        self, path: str, *, method: str = "GET", **keywords: Any
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        host: WireHost | None = None,
+        **keywords: Any,
     ) -> CallerAnswer:
-        """Sends a caller's request."""
+        """Sends a caller's request to a host."""
+        address = host.caller_address if host else self.addresses[1]
         headers = {
             "Host": HOST_NAME,
             "Request-Id": f"r{next(_IDS)}",
@@ -201,7 +246,7 @@
         started = time.monotonic()
         async with self.session.request(
             method,
-            f"http://{self.addresses[1]}{path}",
+            f"http://{address}{path}",
             headers=headers,
             **keywords,
         ) as response:
--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -18,6 +18,8 @@
 class StoreFaults:
     """What the store does wrong, until it is changed."""
 
+    # The ports at which these faults show, all if empty.
+    ports: frozenset[int] = frozenset()
     # Answers every call with this status, if any.
     status: int | None = None
     # Answers nothing at all.
@@ -92,13 +94,19 @@
     async def _break(self, request: web.Request, handler: Any) -> Any:
         is_stale_read = request.query.get("stale-ok") == "1"
         self.price += _STALE_PRICE if is_stale_read else 1.0
-        if self.faults.is_silent:
+        assert request.transport is not None
+        port = request.transport.get_extra_info("sockname")[1]
+        faults = self.faults
+        if faults.ports and port not in faults.ports:
+            faults = StoreFaults()
+        if faults.is_silent:
             await asyncio.sleep(60)
-        if self.faults.status is not None:
-            return web.Response(status=self.faults.status)
+        if faults.status is not None:
+            return web.Response(status=faults.status)
         response = await handler(request)
-        if self.faults.loses_answers and request.method != "GET":
-            assert request.transport is not None
+        if self.faults.is_silent and port in self.faults.ports:
+            await asyncio.sleep(60)  # A cut holds up what was asked before.
+        if faults.loses_answers and request.method != "GET":
             request.transport.abort()
         return response
 
