Add a fault soak that runs the hosts as processes

The soak draws a schedule of faults from a seed: hosts that are killed, stopped, paused and hung up on; links to the store, to servers and to callers that are delayed, reset, cut one way or silenced by a loopback proxy; a store that fails, loses answers or forgets; servers that answer wrongly, drain or are replaced; domains out; versions in series. It checks from what callers and servers saw: proofs, merging, orders run once, true refusals, the budget, the routes, exit statuses, and service, a change and a stop in calm.

Clocks are not harmed: hosts use only the clock that runs on in suspension, which a stopped process covers. The demo and the soak share the host process.

--- /dev/null
+++ b/standins/cowslipvalve_standins/_proxies.py
@@ -0,0 +1,115 @@
+"""A loopback proxy whose connections can be harmed."""
+
+import asyncio
+
+import attrs
+
+import cowslipvalve_base as base
+
+_CHUNK_BYTES = 65_536
+
+
+@attrs.frozen(kw_only=True)
+class LinkFault:
+    """What is wrong with a link."""
+
+    # How long each chunk is held back.
+    delay_ms: float = 0.0
+    # Whether nothing reaches the server, without a reset.
+    is_deaf: bool = False
+    # Whether nothing comes back from the server, without a reset.
+    is_mute: bool = False
+    # Whether new connections are reset.
+    refuses: bool = False
+
+
+class Proxy:
+    """Passes bytes on between a port of its own and a server.
+
+    Bytes that a cut holds up are passed on after it, as TCP does.
+
+    Attributes:
+      address: Where it listens.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = base.split_address(target)
+        self._fault = LinkFault()
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening and resets all connections."""
+        assert self._server is not None
+        self._server.close()
+        self.reset()
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Changes what is wrong, for open connections too."""
+        self._fault = fault
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def reset(self) -> None:
+        """Resets all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._fault.refuses:
+            writer.transport.abort()
+            return
+        try:
+            there, back = await asyncio.open_connection(*self._target)
+        except OSError:  # The caller sees what the server would have done.
+            writer.transport.abort()
+            return
+        pair = {writer, back}
+        self._writers |= pair
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, back, to_server=True),
+                self._pass_on(there, writer, to_server=False),
+            )
+        finally:
+            self._writers -= pair
+            for each in pair:
+                each.transport.abort()
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_server: bool,
+    ) -> None:
+        try:
+            while chunk := await reader.read(_CHUNK_BYTES):
+                await asyncio.sleep(base.to_seconds(self._fault.delay_ms))
+                while self._holds(to_server):
+                    await self._changed.wait()
+                writer.write(chunk)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:  # One side is gone; so is the other then.
+            writer.transport.abort()
+
+    def _holds(self, to_server: bool) -> bool:
+        return self._fault.is_deaf if to_server else self._fault.is_mute
+
+
+async def start_proxy(target: str) -> Proxy:
+    """Returns a proxy that listens."""
+    proxy = Proxy(target)
+    await proxy.start()
+    return proxy
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -8,6 +8,7 @@
 import cowslipvalve_model as model
 
 RECORD_BYTES = 16
+_MS_PER_S = 1_000.0
 _NUMBERS = itertools.count(1)
 
 
@@ -45,6 +46,8 @@
     headers: dict[str, str]
     # The body.
     body: bytes
+    # When it was read, in ms of the loop's clock.
+    read_ms: float
 
 
 class WireServer:
@@ -54,6 +57,7 @@
       faults: What is wrong at the moment.
       seen: The requests that were run, in order.
       abandoned: The ids of requests whose connection closed while they ran.
+      proofs: The id of the request that each proof was given for.
       records: The records of this server's shard.
     """
 
@@ -63,6 +67,7 @@
         self.faults = ServerFaults()
         self.seen: list[SeenRequest] = []
         self.abandoned: list[str] = []
+        self.proofs: dict[str, str] = {}
         self.connections = 0
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -138,7 +143,7 @@
         faults = self.faults
         if faults.loses_answers:
             return False
-        proof = "" if faults.omits_proof else self.create_proof()
+        proof = "" if faults.omits_proof else self._create_proof(request_id)
         extra = (
             [f"Content-Encoding: {faults.encoding}"] if faults.encoding else []
         )
@@ -161,9 +166,11 @@
             writer.write(answer)
         return True
 
-    def create_proof(self) -> str:
+    def _create_proof(self, request_id: str) -> str:
         """Returns a proof that no other answer has."""
-        return f"{self.instance_id}.{next(_NUMBERS)}"
+        proof = f"{self.instance_id}.{next(_NUMBERS)}"
+        self.proofs[proof] = request_id
+        return proof
 
 
 async def _read_request(reader: asyncio.StreamReader) -> SeenRequest:
@@ -175,7 +182,8 @@
         if separator:
             headers[name.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return SeenRequest(line=line, headers=headers, body=body)
+    read_ms = asyncio.get_running_loop().time() * _MS_PER_S
+    return SeenRequest(line=line, headers=headers, body=body, read_ms=read_ms)
 
 
 def _format(
--- /dev/null
+++ b/standins/cowslipvalve_standins/soak.py
@@ -0,0 +1,152 @@
+"""Plays random faults against real hosts and checks what they promise.
+
+Usage: python -m cowslipvalve_standins.soak [--seed N] [--seeds COUNT]
+"""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+
+import aiohttp
+import attrs
+import cyclopts
+
+from cowslipvalve_standins import _soakcallers
+from cowslipvalve_standins import _soakchecks
+from cowslipvalve_standins import _soakfaults
+from cowslipvalve_standins import _soakworld
+
+_FAULTS = 14
+_FAULTS_S = 8.0
+_MS_PER_S = 1_000.0
+_SETTLE_S = 5.0  # The users' bounds hold for hosts that were sound for 5 s.
+_APPLY_S = 3.0  # The strictest bound on a change at the users.
+_CALM_S = 2.0
+_TIMEOUT_MS = 1_500
+_LAST_ROUTE = "last"
+_HTTP_OK = 200
+_SHOWN = 5
+
+app = cyclopts.App(
+    name="soak",
+    help="Plays random faults against real hosts.",
+    result_action="return_value",
+)
+
+
+@attrs.frozen(kw_only=True)
+class SoakResult:
+    """What one seed has shown."""
+
+    # The faults that were played.
+    faults: tuple[_soakfaults.Fault, ...]
+    # The calls that callers made.
+    calls: int
+    # How many of them were answered with success.
+    served: int
+    # The promises that were broken, empty if none was.
+    broken: tuple[str, ...]
+
+
+async def run_seed(seed: int, folder: pathlib.Path) -> SoakResult:
+    """Plays one seed; logs of the hosts are left in the folder."""
+    choices = random.Random(seed)
+    faults = _soakfaults.draw_faults(choices, _FAULTS, _FAULTS_S)
+    world = _soakworld.SoakWorld(folder)
+    callers = _soakcallers.Callers(world, choices)
+    stop = asyncio.Event()
+    try:
+        await world.start()
+        load = asyncio.ensure_future(callers.run(stop))
+        injector = _soakfaults.Injector(world)
+        await injector.run(faults)
+        broken = list(await _check_calm(world, callers))
+        stop.set()
+        await load
+        broken += injector.unexpected
+        broken += _soakchecks.check_calls(world, callers.calls)
+        broken += _soakchecks.check_servers(world)
+    finally:
+        await world.stop()
+    return SoakResult(
+        faults=faults,
+        calls=len(callers.calls),
+        served=sum(call.status == _HTTP_OK for call in callers.calls),
+        broken=tuple(broken),
+    )
+
+
+async def _check_calm(
+    world: _soakworld.SoakWorld, callers: _soakcallers.Callers
+) -> list[str]:
+    """Checks what holds once the faults are over: service, changes, a stop."""
+    broken: list[str] = []
+    for server in list(world.servers.values()):
+        server.sequence += 1
+        world.register(server)
+    async with aiohttp.ClientSession() as session:
+        for host in world.hosts:
+            await host.wait_until_ready(session)
+        await asyncio.sleep(_SETTLE_S)
+        from_ms = asyncio.get_running_loop().time() * _MS_PER_S
+        world.configure(_LAST_ROUTE, timeout_ms=_TIMEOUT_MS)
+        await asyncio.sleep(_APPLY_S)
+        for host in world.hosts:
+            call = await callers.call(session, _LAST_ROUTE, host.name)
+            if call.status != _HTTP_OK:
+                broken.append(
+                    f"{host.name} answers {call.status} on a route that is "
+                    "due everywhere"
+                )
+    leaving = world.hosts[0]
+    leaving.send_signal(signal.SIGTERM)
+    status = await leaving.wait()
+    if status:
+        broken.append(f"{leaving.name} ended with {status} in calm")
+    await asyncio.sleep(_CALM_S)
+    broken += _soakchecks.check_calm(callers.calls, from_ms, leaving.name)
+    broken += _soakchecks.check_lateness(callers.calls, from_ms, _TIMEOUT_MS)
+    return broken
+
+
+def _report(seed: int, result: SoakResult, folder: pathlib.Path) -> None:
+    print(
+        f"seed={seed} calls={result.calls} served={result.served} "
+        f"broken={len(result.broken)}",
+        flush=True,
+    )
+    if not result.broken:
+        return
+    for fault in sorted(result.faults, key=lambda f: f.at_s):
+        print(f"  fault {fault}")
+    for reason in result.broken[:_SHOWN]:
+        print(f"  broken: {reason}")
+    print(f"  logs: {folder}")
+
+
+@app.default
+def play(*, seed: int = 0, seeds: int = 1) -> int:
+    """Plays seeds one after the other; the status is 1 if one is broken.
+
+    Args:
+      seed: The first seed; 0 draws one.
+      seeds: How many seeds are played.
+    """
+    first = seed or random.SystemRandom().randrange(1, 1 << 30)
+    is_broken = False
+    for number in range(first, first + seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="cowslipvalve-soak-"))
+        result = asyncio.run(run_seed(number, folder))
+        _report(number, result, folder)
+        is_broken |= bool(result.broken)
+        if not result.broken:
+            shutil.rmtree(folder, ignore_errors=True)
+    return int(is_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/standins/cowslipvalve_standins/wiredemo.py
+++ b/standins/cowslipvalve_standins/wiredemo.py
@@ -13,37 +13,21 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-import attrs
 from aiohttp import web
 
 import cowslipvalve_base as base
 from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _hostprocesses
 from cowslipvalve_standins import _wiredeployments
 from cowslipvalve_standins import _wireserver
 from cowslipvalve_standins import _wirestore
 
-_DOMAINS = {"seinajoki": "pohjanmaa", "kuopio": "savo", "rovaniemi": "lappi"}
 _SHARDS = 6
 _REPLICAS = 2
-_READY_S = 20.0
 _REQUESTS = 60
 _PAUSE_S = 0.02
 
 
-@attrs.frozen
-class _DemoHost:
-    """A host process."""
-
-    # Its name.
-    name: str
-    # Where callers connect to.
-    caller_address: str
-    # Where it tells whether it is ready.
-    ready_address: str
-    # The process.
-    process: asyncio.subprocess.Process
-
-
 async def _start_store(address: str) -> _wirestore.WireStore:
     store = _wirestore.create_wire_store()
     runner = web.AppRunner(store.create_app(), access_log=None)
@@ -57,7 +41,7 @@
     store: _wirestore.WireStore,
 ) -> list[_wireserver.WireServer]:
     servers = []
-    domains = list(_DOMAINS)
+    domains = list(_hostprocesses.DOMAINS)
     for shard in range(_SHARDS):
         for replica in range(_REPLICAS):
             records = tuple(
@@ -77,53 +61,10 @@
     return servers
 
 
-async def _start_host(
-    name: str, domain: str, store_address: str, folder: pathlib.Path
-) -> _DemoHost:
-    ports = _deployments.choose_ports(4)
-    addresses = [f"127.0.0.1:{port}" for port in ports]
-    path = folder / f"{name}.json"
-    settings = {
-        "host": name,
-        "failureDomain": domain,
-        "regions": _DOMAINS,
-        "callerAddress": addresses[0],
-        "readyAddress": addresses[1],
-        "metricsAddress": addresses[2],
-        "stateAddress": addresses[3],
-        "seeds": [],
-        "storeAddress": store_address,
-        "graceS": 6,
-        "budget": {"ratio": 0.2, "slack": 56, "windowS": 10},
-    }
-    path.write_bytes(base.encode_plain(settings))
-    with (folder / f"{name}.log").open("wb") as log:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "cowslipvalve_adapter",
-            env={"COWSLIPVALVE_SETTINGS": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-    return _DemoHost(name, addresses[0], addresses[1], process)
-
-
-async def _wait_until_ready(
-    session: aiohttp.ClientSession, host: _DemoHost
-) -> None:
-    url = f"http://{host.ready_address}/cowslipvalve/readiness"
-    async with asyncio.timeout(_READY_S):
-        while True:
-            with contextlib.suppress(aiohttp.ClientError):
-                async with session.get(url) as response:
-                    if response.status == web.HTTPOk.status_code:
-                        return
-            await asyncio.sleep(_PAUSE_S)
-
-
 async def _call_all(
-    session: aiohttp.ClientSession, hosts: list[_DemoHost], step: str
+    session: aiohttp.ClientSession,
+    hosts: list[_hostprocesses.HostProcess],
+    step: str,
 ) -> bool:
     """Sends queries to the hosts in turn; returns whether all were right."""
     expected = b"".join(
@@ -153,18 +94,20 @@
 @contextlib.asynccontextmanager
 async def _run_hosts(
     store_address: str, folder: pathlib.Path
-) -> AsyncIterator[list[_DemoHost]]:
+) -> AsyncIterator[list[_hostprocesses.HostProcess]]:
     hosts = [
-        await _start_host(f"front-{domain}-1", domain, store_address, folder)
-        for domain in _DOMAINS
+        _hostprocesses.create_host_process(
+            f"front-{domain}-1", domain, folder, store_address
+        )
+        for domain in _hostprocesses.DOMAINS
     ]
     try:
+        for host in hosts:
+            await host.start()
         yield hosts
     finally:
         for host in hosts:
-            if host.process.returncode is None:
-                host.process.kill()
-                await host.process.wait()
+            await host.kill()
 
 
 async def run_demo() -> bool:
@@ -186,7 +129,7 @@
             _run_hosts(store_address, pathlib.Path(name)) as hosts,
         ):
             for host in hosts:
-                await _wait_until_ready(session, host)
+                await host.wait_until_ready(session)
             right &= await _call_all(session, hosts, "calm")
             servers[0].faults = _wireserver.ServerFaults(work_ms=400.0)
             right &= await _call_all(session, hosts, "a slow server")
@@ -194,9 +137,9 @@
             right &= await _call_all(session, hosts, "the store away")
             store.faults = _wirestore.StoreFaults()
             leaving = hosts.pop()
-            leaving.process.send_signal(signal.SIGTERM)
+            leaving.send_signal(signal.SIGTERM)
             right &= await _call_all(session, hosts, "a host leaving")
-            status = await leaving.process.wait()
+            status = await leaving.wait()
             print(f"the host that left ended with status {status}")
             right &= status == 0
     return right
