--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -30,6 +30,8 @@
 from cowslipvalve_gateway._hostclients import create_state_api
 from cowslipvalve_gateway._logs import VolumeFilter
 from cowslipvalve_gateway._logs import start_logs
+from cowslipvalve_gateway._looplags import LoopLag
+from cowslipvalve_gateway._looplags import create_loop_lag
 from cowslipvalve_gateway._measurements import Measurements
 from cowslipvalve_gateway._measurements import create_measurements
 from cowslipvalve_gateway._merges import RECORD_BYTES
@@ -81,6 +83,7 @@
     "Item",
     "Kind",
     "Listing",
+    "LoopLag",
     "LostAnswerError",
     "Measurements",
     "MergedAnswer",
@@ -119,6 +122,7 @@
     "create_catalog_upkeep",
     "create_gateway",
     "create_host_client",
+    "create_loop_lag",
     "create_measurements",
     "create_selector",
     "create_server_client",
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -186,7 +186,6 @@
         now_ms = self._clock.now_ms()
         for name, departure in list(self._departures.items()):
             if departure.until_ms <= now_ms:
-                del self._departures[name]
                 self._remove(name, "lapsed")
 
     def unprepared_pools(self) -> list[_pools.ServerPool]:
@@ -236,6 +235,7 @@
         )
 
     def _remove(self, instance_id: str, reason: str) -> None:
+        self._departures.pop(instance_id, None)
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -169,46 +169,76 @@
                 continue
             asked_ms = self._clock.now_ms()
             source = await self._find_source()
-            if source is not None and not is_watcher:
+            if source is not None and is_watcher:
+                await self._take(source)
+            elif source is not None:
                 return source
 
     async def _find_source(self) -> str | None:
-        """Asks all candidates at once; returns one with fresh state."""
+        """Asks all candidates at once; returns one with fresh state.
+
+        A host that knows no state yet takes it from any other.
+        """
         near = self._near_sources()
         far = self._sources.choice.far_sources(self._replica.catalog.hosts)
         self._near_tried_ms = self._clock.now_ms()
+        answers = await self._ask_all(near, far)
+        fresh = [a for a, message in answers.items() if _is_fresh(message)]
+        if fresh:
+            return min(fresh, key=lambda address: address not in near)
+        if answers and not self._replica.catalog.is_complete:
+            await self._take(min(answers, key=lambda a: answers[a].age_ms))
+        return None
+
+    async def _ask_all(
+        self, near: list[str], far: list[str]
+    ) -> dict[str, _replicas.StateMessage]:
+        """Returns the answers until a near host is found, or the best one."""
         asked = {
-            asyncio.ensure_future(self._ask(address)): address
+            asyncio.ensure_future(self._ask_age(address)): address
             for address in dict.fromkeys((*near, *far))
         }
-        found: str | None = None
+        answers: dict[str, _replicas.StateMessage] = {}
         pending = set(asked)
-        while pending and not (found and _are_done(asked, near)):
+        while pending:
             done, pending = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
-                if task.result() and (found is None or asked[task] in near):
-                    found = asked[task]
-            if found in near:
+                message = task.result()
+                if message is not None:
+                    answers[asked[task]] = message
+            fresh = {a for a, m in answers.items() if _is_fresh(m)}
+            is_near_known = not any(asked[task] in near for task in pending)
+            if fresh and (is_near_known or not fresh.isdisjoint(near)):
                 break
         for task in pending:
             task.cancel()
-        return found
+        return answers
 
-    async def _ask(self, address: str) -> bool:
-        """Takes the state of a host; returns whether it is a fresh source."""
+    async def _ask_age(self, address: str) -> _replicas.StateMessage | None:
         try:
-            message = await self._sources.hosts.fetch(
-                address, self._replica.log.revisions, 0, _FIRST_ANSWER_MS
+            return await self._sources.hosts.fetch_age(
+                address, _FIRST_ANSWER_MS
             )
         except _errors.HostUnavailableError as error:
             base.log_event(
                 _logger, "host-not-asked", logging.DEBUG, error=error
             )
-            return False
+            return None
+
+    async def _take(self, source: str) -> None:
+        """Takes what another host knows, once."""
+        try:
+            message = await self._sources.hosts.fetch(
+                source, self._replica.log.revisions, 0, _SILENT_MS
+            )
+        except _errors.HostUnavailableError as error:
+            base.log_event(
+                _logger, "state-not-taken", logging.WARNING, error=error
+            )
+            return
         self._replica.take_message(message)
-        return message.is_watching and message.age_ms <= _STALE_MS
 
     async def _stay_with(self, source: str) -> None:
         """Follows a host while its state is fresh and no nearer one is."""
@@ -229,7 +259,7 @@
                 )
                 return
             self._replica.take_message(message)
-            if not message.is_watching or message.age_ms > _STALE_MS:
+            if not _is_fresh(message):
                 base.log_event(
                     _logger,
                     "source-stale",
@@ -248,12 +278,8 @@
         return bool(near) and source not in near and tried_ms > _NEAR_RETRY_MS
 
 
-def _are_done(
-    asked: dict[asyncio.Task[bool], str], addresses: list[str]
-) -> bool:
-    return all(
-        task.done() for task, address in asked.items() if address in addresses
-    )
+def _is_fresh(message: _replicas.StateMessage) -> bool:
+    return message.is_watching and message.age_ms <= _STALE_MS
 
 
 def create_state_follower(
--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -12,6 +12,7 @@
 from cowslipvalve_gateway import _stores
 
 PATH = "/state"
+AGE_PATH = "/state/age"
 _WAIT_FIELD = "waitMs"
 _MAX_WAIT_MS = 5_000
 _HTTP_OK = 200
@@ -45,10 +46,25 @@
         """
         query = {kind.value: str(value) for kind, value in revisions.items()}
         query[_WAIT_FIELD] = str(wait_ms)
+        return await self._get(address, PATH, query, timeout_ms)
+
+    async def fetch_age(
+        self, address: str, timeout_ms: float
+    ) -> _replicas.StateMessage:
+        """Returns how fresh the state of a host is, without the state.
+
+        Raises:
+          HostUnavailableError: There was no answer, or an unreadable one.
+        """
+        return await self._get(address, AGE_PATH, {}, timeout_ms)
+
+    async def _get(
+        self, address: str, path: str, query: dict[str, str], timeout_ms: float
+    ) -> _replicas.StateMessage:
         timeout = aiohttp.ClientTimeout(total=base.to_seconds(timeout_ms))
         try:
             async with self._session.get(
-                f"http://{address}{PATH}", params=query, timeout=timeout
+                f"http://{address}{path}", params=query, timeout=timeout
             ) as response:
                 text = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -77,6 +93,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Returns what the asking host lacks, at once or after a wait."""
+        if request.path == AGE_PATH:
+            return _render(self._replica.build_message(None))
         if request.path != PATH:
             return web.Response(status=_HTTP_NOT_FOUND)
         try:
@@ -88,10 +106,13 @@
             await self._replica.log.wait_for_news(
                 revisions, min(wait_ms, _MAX_WAIT_MS)
             )
-        message = self._replica.build_message(revisions)
-        return web.Response(
-            body=base.encode(message), content_type="application/json"
-        )
+        return _render(self._replica.build_message(revisions))
+
+
+def _render(message: _replicas.StateMessage) -> web.Response:
+    return web.Response(
+        body=base.encode(message), content_type="application/json"
+    )
 
 
 def _read_revisions(query: Mapping[str, str]) -> dict[_stores.Kind, int]:
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -8,7 +8,7 @@
 from cowslipvalve_gateway import _stores
 
 _RETURN_GRACE_MS = 2_500.0  # Lapsed registrations are back within 2 s.
-_MAX_AGE_MS = 3_600_000.0  # JSON has no infinity.
+_MAX_AGE_MS = 3_600_000.0  # JSON has no infinity, nor have logs.
 
 
 @attrs.frozen(kw_only=True)
@@ -54,7 +54,7 @@
     @property
     def age_ms(self) -> float:
         """Returns how long ago the store last confirmed the state."""
-        return self._clock.now_ms() - self.confirmed_ms
+        return min(self._clock.now_ms() - self.confirmed_ms, _MAX_AGE_MS)
 
     def start_grace(self) -> None:
         """Notes that the store is back; registrations may have lapsed."""
@@ -85,15 +85,21 @@
         for update in message.updates:
             self.take(update.kind, update.listing)
 
-    def build_message(self, revisions: _statelogs.Revisions) -> StateMessage:
-        """Returns what a host lacks that knows some revisions."""
+    def build_message(
+        self, revisions: _statelogs.Revisions | None
+    ) -> StateMessage:
+        """Returns what a host lacks that knows some revisions.
+
+        Without revisions the message tells only how fresh the state is.
+        """
+        lacking = {} if revisions is None else self.log.read_after(revisions)
         return StateMessage(
             is_watching=self.is_watching,
-            age_ms=min(self.age_ms, _MAX_AGE_MS),
+            age_ms=self.age_ms,
             grace_ms=self._grace_left_ms(),
             updates=tuple(
                 Update(kind=kind, listing=listing)
-                for kind, listing in self.log.read_after(revisions).items()
+                for kind, listing in lacking.items()
             ),
         )
 
--- a/packages/gateway/cowslipvalve_gateway/_statelogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_statelogs.py
@@ -33,12 +33,11 @@
         self._deletions = 0
 
     def add(self, listing: _stores.Listing) -> None:
-        if listing.is_whole:
-            self._entries.clear()
-            self._deletions = 0
+        if self.revision < 0:
             self._oldest = listing.revision
+        items = self._find_changes(listing)
         self.revision = listing.revision
-        for item in listing.items:
+        for item in items:
             old = self._entries.pop(item.name, None)
             if old is not None and not old.item.is_valid:
                 self._deletions -= 1
@@ -48,6 +47,26 @@
         if self._deletions > _MAX_DELETIONS:
             self._forget_deletions()
 
+    def _find_changes(
+        self, listing: _stores.Listing
+    ) -> tuple[_stores.Item, ...]:
+        """Returns what a listing changes; readers need not get it whole."""
+        if not listing.is_whole:
+            return listing.items
+        names = {item.name for item in listing.items}
+        changed = [
+            item
+            for item in listing.items
+            if item.name not in self._entries
+            or self._entries[item.name].item != item
+        ]
+        gone = [
+            _stores.Item(name=name, is_valid=False)
+            for name, entry in self._entries.items()
+            if name not in names and entry.item.is_valid
+        ]
+        return (*changed, *gone)
+
     def read_after(self, revision: int) -> _stores.Listing:
         is_whole = revision < self._oldest
         items = tuple(
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -5,15 +5,25 @@
 import logging
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
 import cowslipvalve_gateway as gateway
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _statelogs
 from cowslipvalve_standins import _clocks
 
 _BOUNDS = gateway.BudgetBounds(ratio=0.2, slack=56, window_ms=10_000)
 _HOSTS = 8
+_SERVER = gateway.Server(
+    instance_id="i-0",
+    service="orders",
+    address="127.0.0.1:1",
+    domain="kuopio",
+    state=gateway.ServerState.READY,
+    slots=2,
+)
 
 
 class AttemptBudgetTest(unittest.TestCase):
@@ -89,6 +99,88 @@
                 self.assertGreaterEqual(budget.left(hosts), left)
 
 
+class CatalogTest(unittest.TestCase):
+
+    def test_registration_that_ends_twice_is_removed_once(self) -> None:
+        # After an outage an entry lapses within the grace; then a list names
+        # it no more while its departure is still noted.
+        clock = _clocks.create_manual_clock()
+        catalog = gateway.create_catalog(clock, {})
+        catalog.put_server(_SERVER)
+        catalog.drop_server(_SERVER.instance_id, grace_ms=2_500.0)
+        catalog.drop_server(_SERVER.instance_id, grace_ms=0.0)
+        self.assertEqual(catalog.count_servers(), 0)
+        clock.advance(3_000.0)
+        catalog.remove_departed()
+        self.assertEqual(catalog.count_servers(), 0)
+
+
+class StateLogTest(unittest.TestCase):
+    """What hosts pass on is complete, and never set back."""
+
+    def setUp(self) -> None:
+        self.log = _statelogs.create_state_log()
+
+    def add(
+        self, revision: int, *names: str, is_whole: bool = False, **gone: bool
+    ) -> bool:
+        items = [_create_item(name, revision) for name in names]
+        items += [gateway.Item(name=name, is_valid=False) for name in gone]
+        return self.log.add(
+            gateway.Kind.SERVERS,
+            gateway.Listing(
+                items=tuple(items), revision=revision, is_whole=is_whole
+            ),
+        )
+
+    def read(self, revision: int) -> tuple[bool, set[str], set[str]]:
+        """Returns whether a listing is whole, its objects, what is gone."""
+        listing = self.log.read_after({gateway.Kind.SERVERS: revision})[
+            gateway.Kind.SERVERS
+        ]
+        return (
+            listing.is_whole,
+            {item.name for item in listing.items if item.is_valid},
+            {item.name for item in listing.items if not item.is_valid},
+        )
+
+    def test_reader_gets_what_it_lacks(self) -> None:
+        self.add(10, "a", "b", is_whole=True)
+        self.add(20, "c", a=True)
+        self.assertEqual(self.read(-1), (True, {"b", "c"}, set()))
+        self.assertEqual(self.read(10), (False, {"c"}, {"a"}))
+        self.assertEqual(self.log.read_after({gateway.Kind.SERVERS: 20}), {})
+
+    def test_second_list_passes_on_only_its_changes(self) -> None:
+        self.add(10, "a", "b", is_whole=True)
+        same = _create_item("a", 10)
+        new = _create_item("c", 30)
+        self.log.add(
+            gateway.Kind.SERVERS,
+            gateway.Listing(items=(same, new), revision=30, is_whole=True),
+        )
+        self.assertEqual(self.read(10), (False, {"c"}, {"b"}))
+
+    def test_older_source_sets_nothing_back(self) -> None:
+        self.add(20, "a", is_whole=True)
+        self.assertFalse(self.add(15, "b", is_whole=True))
+        self.assertFalse(self.add(19, a=True))
+        self.assertEqual(self.read(-1), (True, {"a"}, set()))
+
+    def test_forgotten_deletions_are_made_up_by_a_whole_listing(self) -> None:
+        self.add(10, "a", is_whole=True)
+        for number in range(1_001):
+            name = f"s-{number}"
+            self.add(11 + 2 * number, name)
+            self.add(12 + 2 * number, **{name: True})
+        self.assertEqual(self.read(10), (True, {"a"}, set()))
+
+
+def _create_item(name: str, sequence: int) -> gateway.Item:
+    server = attrs.evolve(_SERVER, instance_id=name, sequence=sequence)
+    return gateway.Item(name=name, is_valid=True, server=server)
+
+
 class SplitterTest(unittest.TestCase):
 
     def test_each_service_gets_its_share_of_any_run(self) -> None:
--- a/standins/cowslipvalve_standins/_soakfaults.py
+++ b/standins/cowslipvalve_standins/_soakfaults.py
@@ -71,6 +71,8 @@
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Injects all faults and returns when the last one is over."""
         await asyncio.gather(*(self._inject(fault) for fault in faults))
+        for host in self._world.hosts:
+            self._check_running(host)
 
     async def _inject(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
--- a/standins/cowslipvalve_standins/soak.py
+++ b/standins/cowslipvalve_standins/soak.py
@@ -64,10 +64,11 @@
         load = asyncio.ensure_future(callers.run(stop))
         injector = _soakfaults.Injector(world)
         await injector.run(faults)
-        broken = list(await _check_calm(world, callers))
+        broken = injector.unexpected
+        if not broken:  # A host that ended would never get ready again.
+            broken += await _check_calm(world, callers)
         stop.set()
         await load
-        broken += injector.unexpected
         broken += _soakchecks.check_calls(world, callers.calls)
         broken += _soakchecks.check_servers(world)
     finally:
