Count the present turn of the event loop as lag

Cause: after a long turn the event loop reads requests before it runs timers, so that the lag of that very turn was not known yet.

Change: an overdue timer counts with the time by which it is overdue.

--- a/packages/gateway/cowslipvalve_gateway/_looplags.py
+++ b/packages/gateway/cowslipvalve_gateway/_looplags.py
@@ -22,22 +22,23 @@
         self._samples_ms: collections.deque[float] = collections.deque(
             maxlen=_KEPT_SAMPLES
         )
+        self._due_ms = float("inf")
 
     @property
     def recent_ms(self) -> float:
-        """Returns the greatest lag of the last second."""
-        return max(self._samples_ms, default=0.0)
+        """Returns the greatest lag of the last second, the present one too.
 
-    def add(self, lag_ms: float) -> None:
-        """Takes a measured lag."""
-        self._samples_ms.append(lag_ms)
+        After a long turn of the event loop requests are read before timers.
+        """
+        present_ms = max(0.0, self._clock.now_ms() - self._due_ms)
+        return max((present_ms, *self._samples_ms))
 
     @mode.Service.task
     async def _measure(self) -> None:
         while not self.should_stop:
-            due_ms = self._clock.now_ms() + _PERIOD_MS
+            self._due_ms = self._clock.now_ms() + _PERIOD_MS
             await self._clock.sleep_ms(_PERIOD_MS)
-            self.add(self._clock.now_ms() - due_ms)
+            self._samples_ms.append(self._clock.now_ms() - self._due_ms)
 
 
 def create_loop_lag(clock: base.Clock) -> LoopLag:
