Compress what hosts tell each other

Ruled out: lag of the event loop (requests were logged in time).

Change: answers above one packet are deflated.

--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -1,5 +1,6 @@
 """Asks another host for its state, over HTTP with JSON."""
 
+import zlib
 from collections.abc import Mapping
 
 import aiohttp
@@ -15,6 +16,10 @@
 AGE_PATH = "/state/age"
 _WAIT_FIELD = "waitMs"
 _MAX_WAIT_MS = 5_000
+# The links of hosts are narrow: a new configuration and its servers for ten
+# followers, 1 MB in plain, held up the requests of a watcher for 0.9 s.
+_MAX_PLAIN_BYTES = 1_400
+_FASTEST = 1
 _HTTP_OK = 200
 _HTTP_BAD_REQUEST = 400
 _HTTP_NOT_FOUND = 404
@@ -110,9 +115,12 @@
 
 
 def _render(message: _replicas.StateMessage) -> web.Response:
-    return web.Response(
-        body=base.encode(message), content_type="application/json"
-    )
+    body = base.encode(message)
+    headers = {"Content-Type": "application/json"}
+    if len(body) > _MAX_PLAIN_BYTES:
+        body = zlib.compress(body, _FASTEST)
+        headers["Content-Encoding"] = "deflate"
+    return web.Response(body=body, headers=headers)
 
 
 def _read_revisions(query: Mapping[str, str]) -> dict[_stores.Kind, int]:
