--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -1,14 +1,17 @@
-"""Budgets, splits, merging, ejection, warm-up and the volume of logs."""
+"""Decisions that need no host: budgets, state, lag, splits, merging, logs."""
 
+import asyncio
 import collections
 import heapq
 import logging
+import time
 import unittest
 
 import attrs
 import hypothesis
 from hypothesis import strategies
 
+import cowslipvalve_base as base
 import cowslipvalve_gateway as gateway
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _statelogs
@@ -181,6 +184,21 @@
     return gateway.Item(name=name, is_valid=True, server=server)
 
 
+class LoopLagTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_lag_of_the_present_turn_counts(self) -> None:
+        lag = gateway.create_loop_lag(base.create_clock())
+        await lag.start()
+        self.addAsyncCleanup(lag.stop)
+        await asyncio.sleep(0.05)
+        self.assertLess(lag.recent_ms, 100.0)
+        # Nothing else runs until this turn of the event loop is over.
+        time.sleep(0.6)  # noqa: ASYNC251
+        self.assertGreater(lag.recent_ms, 400.0)
+        await asyncio.sleep(0.2)
+        self.assertGreater(lag.recent_ms, 400.0)
+
+
 class SplitterTest(unittest.TestCase):
 
     def test_each_service_gets_its_share_of_any_run(self) -> None:
