Rank a domain's watchers in one place, and look for news without a listing

Found in a last read: near and far sources ranked watchers by the same lines; the probe's time-out stood twice; each poll of a follower built a listing only to learn whether it was empty (entries are in the order of their revisions, so the last one tells); choose_watchers was exported and not used outside; the soak wrote its clock three times. Behaviour is the same.

make check is clean; test_decisions 17 of 17, test_state_sharing 9 of 9.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -64,7 +64,6 @@
 from cowslipvalve_gateway._upkeeps import CatalogUpkeep
 from cowslipvalve_gateway._upkeeps import create_catalog_upkeep
 from cowslipvalve_gateway._watcherchoices import WatcherChoice
-from cowslipvalve_gateway._watcherchoices import choose_watchers
 from cowslipvalve_gateway._watcherchoices import create_watcher_choice
 
 __all__ = [
@@ -116,7 +115,6 @@
     "UnsentError",
     "VolumeFilter",
     "WatcherChoice",
-    "choose_watchers",
     "create_attempt_budget",
     "create_catalog",
     "create_catalog_upkeep",
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -30,7 +30,6 @@
 _SEEDS_RETRY_MS = 60.0
 _RETRY_MS = 400.0
 _RETURN_MS = 1_500.0  # Watchers have the store back one probe later.
-_PROBE_TIMEOUT_MS = 600.0  # The slowest days answer in 0.4 s.
 _CHECK_MS = 500.0
 _SUBSTITUTE_MS = 3_000.0  # Each change of source costs some calls.
 _NEAR_RETRY_MS = 5_000.0
@@ -131,7 +130,7 @@
     async def _can_substitute(self) -> bool:
         """Whether the store answers this host while no watcher is fresh."""
         try:
-            await self._sources.store.probe(_PROBE_TIMEOUT_MS)
+            await self._sources.store.probe(_watchers.PROBE_TIMEOUT_MS)
         except base.PlatformError as error:
             base.log_event(
                 _logger, "store-unreachable", logging.WARNING, error=error
--- a/packages/gateway/cowslipvalve_gateway/_statelogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_statelogs.py
@@ -78,6 +78,12 @@
             items=items, revision=self.revision, is_whole=is_whole
         )
 
+    def has_news(self, revision: int) -> bool:
+        """Whether a reader lacks an object; every poll of a follower asks."""
+        if revision < self._oldest or not self._entries:
+            return revision < self._oldest
+        return next(reversed(self._entries.values())).revision > revision
+
     def _forget_deletions(self) -> None:
         self._entries = {
             name: entry
@@ -143,8 +149,8 @@
 
     def _has_news(self, revisions: Revisions) -> bool:
         return any(
-            listing.items or listing.is_whole
-            for listing in self.read_after(revisions).values()
+            log.has_news(revisions.get(kind, -1))
+            for kind, log in self._logs.items()
         )
 
 
--- a/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -52,11 +52,7 @@
         self, hosts: Mapping[str, _resources.HostRecord]
     ) -> list[str]:
         """Returns the addresses of the watchers of the own domain."""
-        watchers = choose_watchers(hosts, self._own.domain)
-        ranked = base.rank_names(
-            (w.state_address for w in watchers), self._own.name
-        )
-        return self._drop_own(ranked)
+        return self._drop_own(self._rank_watchers(hosts, self._own.domain))
 
     def far_sources(
         self, hosts: Mapping[str, _resources.HostRecord]
@@ -69,13 +65,21 @@
         )
         found: list[str] = []
         for domain in ordered:
-            watchers = choose_watchers(hosts, domain)
-            ranked = base.rank_names(
-                (w.state_address for w in watchers), self._own.name
-            )
-            found.extend(ranked[:1])
+            found.extend(self._rank_watchers(hosts, domain)[:1])
         return self._drop_own([*found, *self.seeds])
 
+    def _rank_watchers(
+        self, hosts: Mapping[str, _resources.HostRecord], domain: str
+    ) -> tuple[str, ...]:
+        """Returns the addresses of a domain's watchers, in this host's order.
+
+        Each host has an order of its own, which divides them among watchers.
+        """
+        watchers = choose_watchers(hosts, domain)
+        return base.rank_names(
+            (watcher.state_address for watcher in watchers), self._own.name
+        )
+
     def _drop_own(self, addresses: Iterable[str]) -> list[str]:
         unique = dict.fromkeys(address for address in addresses if address)
         unique.pop(self._own.state_address, None)
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -33,7 +33,7 @@
 _MAX_BACKOFF_MS = 1_000.0  # An outage ends unannounced.
 # The other hosts bear a state that is 1,500 ms old: two probes and their ways.
 _PROBE_MS = 500.0
-_PROBE_TIMEOUT_MS = 600.0  # The slowest days answer in 0.4 s.
+PROBE_TIMEOUT_MS = 600.0  # The slowest days answer in 0.4 s.
 
 _logger = logging.getLogger(__name__)
 
@@ -85,7 +85,7 @@
             await self._clock.sleep_ms(_PROBE_MS)
             sent_ms = self._clock.now_ms()
             try:
-                await self._store.probe(_PROBE_TIMEOUT_MS)
+                await self._store.probe(PROBE_TIMEOUT_MS)
             except base.PlatformError as error:
                 self._note_loss("probe", error)
                 continue
--- a/standins/cowslipvalve_standins/_soakcallers.py
+++ b/standins/cowslipvalve_standins/_soakcallers.py
@@ -81,7 +81,7 @@
             "Request-Id": request_id,
             "Deadline-Ms": str(_DEADLINE_MS),
         }
-        sent_ms = _now_ms()
+        sent_ms = now_ms()
         answered: Mapping[str, str] = {}
         status, body, error = 0, b"", ""
         try:
@@ -102,7 +102,7 @@
             route=route,
             host=host,
             sent_ms=sent_ms,
-            took_ms=_now_ms() - sent_ms,
+            took_ms=now_ms() - sent_ms,
             status=status,
             headers=answered,
             body=body,
@@ -112,5 +112,6 @@
         return call
 
 
-def _now_ms() -> float:
+def now_ms() -> float:
+    """Returns the time that calls and checks are noted in, in ms."""
     return asyncio.get_running_loop().time() * _MS_PER_S
--- a/standins/cowslipvalve_standins/soak.py
+++ b/standins/cowslipvalve_standins/soak.py
@@ -22,7 +22,6 @@
 
 _FAULTS = 14
 _FAULTS_S = 8.0
-_MS_PER_S = 1_000.0
 _SETTLE_S = 5.0  # The users' bounds hold for hosts that were sound for 5 s.
 _APPLY_S = 3.0  # The strictest bound on a change at the users.
 _CALM_S = 2.0
@@ -93,7 +92,7 @@
         for host in world.hosts:
             await host.wait_until_ready(session)
         await asyncio.sleep(_SETTLE_S)
-        from_ms = asyncio.get_running_loop().time() * _MS_PER_S
+        from_ms = _soakcallers.now_ms()
         world.configure(_LAST_ROUTE, timeout_ms=_TIMEOUT_MS)
         await asyncio.sleep(_APPLY_S)
         for host in world.hosts:
