Show when and why answers of a test's load are incomplete

Cause: the tests listed as known red for incomplete coverage printed only the mean, so that no run told which shard was missing and why. Change: LoadResult keeps time, reason and shards of each incomplete answer; the placement tests print them when they fail.

--- a/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
@@ -48,7 +48,7 @@
         result = await load
         self.assert_no_wrong_answers(result)
         self.assertEqual(dict(result.failures), {})
-        self.assertEqual(result.mean_coverage, 1.0)
+        self.assertEqual(result.mean_coverage, 1.0, result.incomplete)
         returned = await _sessions.sum_counter(deployment, "queries", _DOMAIN)
         self.assertGreater(returned, after)
 
@@ -117,7 +117,7 @@
             self.plan(deployment, duration_ms=_NO_WORK_WITHIN_S * 1_000),
         )
         self.assert_no_wrong_answers(result)
-        self.assertEqual(result.mean_coverage, 1.0)
+        self.assertEqual(result.mean_coverage, 1.0, result.incomplete)
         await self._check_no_work(deployment, name)
 
     async def _check_no_work(
@@ -127,7 +127,7 @@
         before = await deployment.server_stats(name)
         result = await _sessions.run_load(deployment, self.plan(deployment))
         self.assert_no_wrong_answers(result)
-        self.assertEqual(result.mean_coverage, 1.0)
+        self.assertEqual(result.mean_coverage, 1.0, result.incomplete)
         after = await deployment.server_stats(name)
         self.assertEqual(after["queries"], before["queries"])
 
--- a/standins/cowslipvalve_standins/_loads.py
+++ b/standins/cowslipvalve_standins/_loads.py
@@ -17,6 +17,7 @@
 _MAX_LATENCY_US = 120_000_000
 _SIGNIFICANT_DIGITS = 3
 _US_PER_MS = 1_000
+_MS_PER_S = 1_000
 _TOP_HITS = 10
 
 
@@ -59,6 +60,8 @@
     )
     # The time of each failure, in ms since the start of the load.
     failed_at_ms: list[float] = attrs.field(factory=list)
+    # The time, reason and missing shards of each answer that lacks a shard.
+    incomplete: list[str] = attrs.field(factory=list)
     # Descriptions of the wrong answers.
     wrong_answers: list[str] = attrs.field(factory=list)
     # The number of answers by snapshot number.
@@ -125,17 +128,24 @@
         self.result.latencies.record_value(
             max(_MIN_LATENCY_US, int(latency_us))
         )
+        ended_ms = (loop.time() - load_start) * _MS_PER_S
         if "coverage" in answer:
-            self._record_answer(text, answer)
+            self._record_answer(text, answer, ended_ms)
         else:
             key = f"{status} {answer['outcome']} {answer['reason']}"
             self.result.failures[key] += 1
-            self.result.failed_at_ms.append((loop.time() - load_start) * 1_000)
+            self.result.failed_at_ms.append(ended_ms)
 
-    def _record_answer(self, text: str, answer: dict[str, Any]) -> None:
+    def _record_answer(
+        self, text: str, answer: dict[str, Any], ended_ms: float
+    ) -> None:
         coverage = answer["coverage"]
         self.result.coverage_sum += coverage["answered"] / coverage["total"]
         self.result.complete += not coverage["missing"]
+        if coverage["missing"]:
+            self.result.incomplete.append(
+                f"{ended_ms:.0f} ms: {answer['reason']} {coverage['missing']}"
+            )
         self.result.snapshots[answer["snapshot"]] += 1
         mismatch = find_mismatch(
             self._plan.search, text, answer, self._plan.counts
