Bound what a server's answer may take of a host's memory

A 103 response followed by a close was returned as the answer, because the head counted as complete. Ruled out: a limit on the body alone; chunk extensions, trailers, a header without end and informational responses pass by it. Change: limits on head, answer, informational responses and all answers in progress; the connection is closed and the attempt counts as a failure of the server, logged with the figures. Small answers are received even if others fill the total. An informational response is never an answer. A pool that was closed keeps no connection that is released later. Before: with the limits off, 10 of 10 endless answers run into the test's time-out, and the tests of the total and of 103 fail. After: all pass; at most 500 kB of an answer are kept with a limit of 500 kB.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -1,5 +1,8 @@
 """Request forwarding: routes, server selection, retries, merging and state."""
 
+from cowslipvalve_gateway._answerbounds import AnswerLimits
+from cowslipvalve_gateway._answerbounds import AnswerMemory
+from cowslipvalve_gateway._answerbounds import create_answer_memory
 from cowslipvalve_gateway._budgets import BudgetBounds
 from cowslipvalve_gateway._budgets import AttemptBudget
 from cowslipvalve_gateway._budgets import create_attempt_budget
@@ -67,6 +70,8 @@
 from cowslipvalve_gateway._watcherchoices import create_watcher_choice
 
 __all__ = [
+    "AnswerLimits",
+    "AnswerMemory",
     "AttemptBudget",
     "BudgetBounds",
     "CallContext",
@@ -115,6 +120,7 @@
     "UnsentError",
     "VolumeFilter",
     "WatcherChoice",
+    "create_answer_memory",
     "create_attempt_budget",
     "create_catalog",
     "create_catalog_maintenance",
--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -6,9 +6,11 @@
 import attrs
 import httptools
 
+from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _errors
 
 _FIRST_FINAL_STATUS = 200
+_HEADER_OVERHEAD_BYTES = 4  # ": " and CRLF.
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -45,14 +47,23 @@
         None if the server did not say.
     """
 
-    def __init__(self, peer: str) -> None:
+    def __init__(
+        self, peer: str, memory: _answerbounds.AnswerMemory | None = None
+    ) -> None:
         self._peer = peer
+        self._memory = memory or _answerbounds.create_answer_memory()
+        # Of the current exchange.
+        self._received_bytes = 0
+        # How many of them precede the head that is being received.
+        self._head_start = 0
+        self._head_bytes = 0
+        self._informational_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[RawAnswer] | None = None
         self._is_expected: Callable[[RawAnswer], bool] = lambda _: True
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._is_head_complete = False
         self._is_self_delimiting = False
         self._is_unusable = False
@@ -85,12 +96,16 @@
                 peer=self._peer,
             )
         self._is_expected = is_expected
+        self._head_start = 0
+        self._head_bytes = 0
+        self._informational_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         try:
             return await self._waiter
         finally:
             self._waiter = None
+            self._release_memory()
 
     def close(self) -> None:
         """Aborts the connection, which tells the server to stop its work."""
@@ -108,14 +123,55 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
+        self._received_bytes += len(data)
+        is_allowed = self._memory.try_take(len(data))
+        limits = self._memory.limits
+        if self._received_bytes > limits.max_answer_bytes:
+            self._fail_and_close(
+                f"the answer exceeds {limits.max_answer_bytes} bytes"
+            )
+            return
+        if not is_allowed and self._received_bytes > limits.guaranteed_bytes:
+            self._fail_and_close(
+                "all answers in progress exceed"
+                f" {limits.max_total_bytes} bytes; this one has"
+                f" {self._received_bytes}"
+            )
+            return
         try:
             self._parser.feed_data(data)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._fail(f"the answer is not valid HTTP: {error}")
-            self.close()
+            self._fail_and_close(f"the answer is not valid HTTP: {error}")
+            return
+        if not self._is_head_complete:
+            # The parser keeps an incomplete header by itself.
+            self._check_head(self._received_bytes - self._head_start)
+
+    def _check_head(self, head_bytes: int) -> None:
+        limit = self._memory.limits.max_head_bytes
+        if head_bytes > limit and self._is_waiting:
+            self._fail_and_close(
+                f"the head of the answer exceeds {limit} bytes"
+            )
+
+    @property
+    def _is_waiting(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def _fail_and_close(self, message: str) -> None:
+        self._fail(message)
+        self.close()
+        # At once, so that answers which arrive now are not lost too.
+        self._release_memory()
+
+    def _release_memory(self) -> None:
+        self._memory.release(self._received_bytes)
+        self._received_bytes = 0
+        self._headers = []
+        self._body = bytearray()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes an answer that ends with the connection, or fails it."""
@@ -135,12 +191,14 @@
         if self._waiter is None or self._waiter.done():
             self._is_unusable = True
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._is_head_complete = False
         self._is_self_delimiting = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
+        """Collects a header, or a trailer of a chunked body."""
+        self._head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        self._check_head(self._head_bytes)
         key = name.lower()
         self._headers.append((key, value))
         if key in _FRAMING_HEADERS:
@@ -152,11 +210,19 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a chunk of the body."""
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the answer unless its status is informational (1xx)."""
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            # Not an answer, even if the connection ends now.
+            self._is_head_complete = False
+            self._informational_count += 1
+            limit = self._memory.limits.max_informational
+            if self._informational_count > limit:
+                self._fail_and_close(
+                    f"more than {limit} informational responses"
+                )
             return
         if not self._parser.should_keep_alive():
             self._is_unusable = True
@@ -169,9 +235,11 @@
         answer = RawAnswer(
             status=self._parser.get_status_code(),
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
         )
         self._is_head_complete = False
+        self._head_start = self._received_bytes
+        self._head_bytes = 0
         if self._is_expected(answer):
             self._waiter.set_result(answer)
         elif self._transport is None:
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import logging
+import math
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _connections
 from cowslipvalve_gateway import _errors
 
@@ -31,10 +33,15 @@
     """
 
     def __init__(
-        self, clock: base.Clock, address: str, max_connections: int
+        self,
+        clock: base.Clock,
+        address: str,
+        max_connections: int,
+        memory: _answerbounds.AnswerMemory,
     ) -> None:
         self._clock = clock
         self._address = address
+        self._memory = memory
         self.max_connections = max_connections
         self.connect_ms = float("inf")
         self.is_prepared = False
@@ -97,7 +104,7 @@
         A connection is closed if it cannot be reused or if enough connections
         are idle.
         """
-        max_idle = max(1, int(self.max_connections * _MAX_IDLE_SHARE))
+        max_idle = math.ceil(self.max_connections * _MAX_IDLE_SHARE)
         if not connection.is_reusable or len(self._idle) >= max_idle:
             self._discard(connection)
         else:
@@ -134,7 +141,9 @@
         try:
             async with asyncio.timeout(base.to_seconds(_CONNECT_TIMEOUT_MS)):
                 _, connection = await loop.create_connection(
-                    lambda: _connections.ServerConnection(self._address),
+                    lambda: _connections.ServerConnection(
+                        self._address, self._memory
+                    ),
                     host,
                     port,
                 )
@@ -171,7 +180,22 @@
 
 
 def create_server_pool(
-    clock: base.Clock, address: str, max_connections: int
+    clock: base.Clock,
+    address: str,
+    max_connections: int,
+    memory: _answerbounds.AnswerMemory | None = None,
 ) -> ServerPool:
-    """Creates an empty pool for one server."""
-    return ServerPool(clock, address, max_connections)
+    """Creates an empty pool for one server.
+
+    Args:
+      clock: The clock of the process.
+      address: The address of the server.
+      max_connections: The maximum number of connections.
+      memory: Counts the answers that the host receives; None for an own count.
+    """
+    return ServerPool(
+        clock,
+        address,
+        max_connections,
+        memory or _answerbounds.create_answer_memory(),
+    )
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -4,6 +4,7 @@
 import random
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 
@@ -153,8 +154,13 @@
 
 
 def create_server_view(
-    clock: base.Clock, server: _resources.Server, max_connections: int
+    clock: base.Clock,
+    server: _resources.Server,
+    max_connections: int,
+    memory: _answerbounds.AnswerMemory | None = None,
 ) -> ServerView:
     """Creates the view of a newly registered server."""
-    pool = _pools.create_server_pool(clock, server.address, max_connections)
+    pool = _pools.create_server_pool(
+        clock, server.address, max_connections, memory
+    )
     return ServerView(clock, server, pool)
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
@@ -0,0 +1,183 @@
+"""Tests of connections to servers that send bytes that are no answer."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Iterator
+
+import cowslipvalve_base as base
+import cowslipvalve_gateway as gateway
+
+_LIMITS = gateway.AnswerLimits(
+    max_head_bytes=20_000,
+    max_answer_bytes=500_000,
+    max_informational=5,
+    max_total_bytes=900_000,
+    guaranteed_bytes=10_000,
+)
+# What the kernel's buffers of a loopback connection hold beside the limit.
+_BUFFERED_BYTES = 8_000_000
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+_PIECE = b"x" * 4_096
+_CHUNK = b"1000\r\n" + _PIECE + b"\r\n"
+
+# What a server sends first, and what it then repeats until the close.
+_ENDLESS = {
+    "body without length": (_OK + b"\r\n", _PIECE),
+    "chunked body": (_CHUNKED, _CHUNK),
+    "tiny chunks": (_CHUNKED, b"1\r\nx\r\n" * 500),
+    "chunk extension": (_CHUNKED + b"1;", _PIECE),
+    "trailers": (_CHUNKED + b"0\r\n", b"a: b\r\n" * 500),
+    "status line": (b"HTTP/1.1 200 ", _PIECE),
+    "one header": (_OK + b"Server-Stamp: ", _PIECE),
+    "many headers": (_OK, b"a: b\r\n" * 500),
+    "informational responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "answers to other requests": (
+        b"",
+        _OK + b"Request-Id: other\r\nContent-Length: 4096\r\n\r\n" + _PIECE,
+    ),
+}
+
+
+class EndlessServer:
+    """Sends bytes on each connection until its peer closes it.
+
+    Attributes:
+      sent_bytes: The bytes that were sent on all connections.
+      closed: Set when a peer has closed a connection.
+    """
+
+    def __init__(self, pieces: Iterator[bytes]) -> None:
+        self._pieces = pieces
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in self._pieces:
+                writer.write(piece)
+                await writer.drain()
+                self.sent_bytes += len(piece)
+            writer.close()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.closed.set()
+
+
+class ServerConnectionTest(unittest.IsolatedAsyncioTestCase):
+
+    async def start(self, pieces: Iterator[bytes]) -> EndlessServer:
+        """Starts a server that sends the pieces to the first connection."""
+        server = EndlessServer(pieces)
+        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(listener.wait_closed)
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return server
+
+    async def exchange(self, memory: gateway.AnswerMemory) -> gateway.RawAnswer:
+        pool = gateway.create_server_pool(
+            base.create_clock(), self.address, 4, memory
+        )
+        connection = await pool.acquire(1_000.0)
+        try:
+            return await connection.exchange(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda answer: answer.header(b"request-id") != "other",
+            )
+        finally:
+            pool.release(connection)
+            pool.close()
+            self.assertEqual(pool.open_count, 0)
+
+    async def test_answers_without_end_are_lost_and_closed(self) -> None:
+        for name, (first, rest) in _ENDLESS.items():
+            with self.subTest(name):
+                memory = gateway.create_answer_memory(_LIMITS)
+                server = await self.start(
+                    itertools.chain([first], itertools.repeat(rest))
+                )
+                async with asyncio.timeout(5.0):
+                    with self.assertRaises(gateway.LostAnswerError):
+                        await self.exchange(memory)
+                    await server.closed.wait()
+                self.assertLess(
+                    server.sent_bytes,
+                    _LIMITS.max_answer_bytes + _BUFFERED_BYTES,
+                )
+                self.assertEqual(memory.used_bytes, 0)
+
+    async def test_answers_in_progress_share_a_limit(self) -> None:
+        # Each answer is within its own limit; together they are not.
+        memory = gateway.create_answer_memory(_LIMITS)
+        size = 400_000
+        head = _OK + b"Content-Length: %d\r\n\r\n" % size
+        hold = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(head + b"x" * (size - 1))
+            await hold.wait()
+            writer.write(b"x")
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        tasks = [asyncio.create_task(self.exchange(memory)) for _ in range(4)]
+        done, _ = await asyncio.wait(
+            tasks, timeout=5.0, return_when=asyncio.FIRST_EXCEPTION
+        )
+        self.assertTrue(done)
+        hold.set()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        listener.close()
+        answers = [r for r in results if isinstance(r, gateway.RawAnswer)]
+        self.assertTrue(answers)
+        self.assertEqual({len(answer.body) for answer in answers}, {size})
+        for result in results:
+            if not isinstance(result, gateway.RawAnswer):
+                self.assertIsInstance(result, gateway.LostAnswerError)
+        self.assertEqual(memory.used_bytes, 0)
+
+    async def test_informational_response_is_no_answer(self) -> None:
+        hint = b"HTTP/1.1 103 Early Hints\r\nServer-Stamp: x\r\n\r\n"
+        await self.start(iter([hint]))
+        memory = gateway.create_answer_memory(_LIMITS)
+        with self.assertRaises(gateway.LostAnswerError):
+            await self.exchange(memory)
+        body = _OK + b"Content-Length: 2\r\n\r\nok"
+        await self.start(iter([hint, hint, body]))
+        answer = await self.exchange(memory)
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+
+
+class ServerPoolTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_connection_released_after_close_is_closed(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        pool = gateway.create_server_pool(
+            base.create_clock(), f"127.0.0.1:{port}", 4
+        )
+        connection = await pool.acquire(1_000.0)
+        pool.close()
+        pool.release(connection)
+        listener.close()
+        self.assertEqual(pool.open_count, 0)
+        self.assertFalse(connection.is_reusable)
+
+
+if __name__ == "__main__":
+    unittest.main()
