Enforce callers' time limits and the pace of cold servers

Ruled out: aiohttp's own time-outs, which know no limit for a head; refusing new connections, which keeps out the callers that are served. A cold server is chosen only at this host's share of its rate; a call waits for it if no other server is left. The users' present sites set no cold rate.

--- a/packages/gateway/cowslipvalve_gateway/_resources.py
+++ b/packages/gateway/cowslipvalve_gateway/_resources.py
@@ -86,6 +86,8 @@
     max_header_bytes: int = 16_384
     # The maximum size of the request body.
     max_body_bytes: int = 262_144
+    # The maximum time from the first byte of a head to its last.
+    header_timeout_ms: float = 10_000.0
     # The maximum time between two requests on one connection.
     idle_timeout_ms: float = 75_000.0
 
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -58,16 +58,34 @@
         service: str,
         excluded: Collection[_servers.ServerView],
     ) -> _servers.ServerView | None:
-        """Returns the usable server with the least expected latency, if any."""
+        """Returns the usable server with the least expected latency, if any.
+
+        A cold server that has had its share of requests for now is left out.
+        """
+        cold_rate = self._catalog.cold_rate(service)
         views = [
             view
             for view in self.find_usable(route, service)
-            if view not in excluded
+            if view not in excluded and view.may_send(cold_rate)
         ]
         if not views:
             return None
         return min(views, key=lambda view: self._compute_cost_ms(view, route))
 
+    def has_paced(
+        self,
+        route: _resources.Route,
+        service: str,
+        excluded: Collection[_servers.ServerView],
+    ) -> bool:
+        """Whether a cold server may be chosen later, as it warms up."""
+        cold_rate = self._catalog.cold_rate(service)
+        return any(
+            not view.may_send(cold_rate)
+            for view in self.find_usable(route, service)
+            if view not in excluded
+        )
+
     def latencies(
         self, route: _resources.Route, view: _servers.ServerView
     ) -> _latencies.RecentLatencies:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -29,6 +29,8 @@
 _DEFAULT_HEDGE_TARGET_SHARE = 0.25
 _FIRST_SERVER_ERROR = 500
 
+# How often a call checks whether a cold server may get its request.
+_COLD_RETRY_MS = 20.0
 _logger = logging.getLogger(__name__)
 
 
@@ -140,8 +142,15 @@
 
     def start(self) -> None:
         """Starts the first attempt; settles the call if there is no server."""
-        self._context.budget(self.service).add_request()
-        if not self._start_attempt():
+        if not self._is_repeat:
+            self._context.budget(self.service).add_request()
+        self._start_or_wait()
+
+    def _start_or_wait(self) -> None:
+        """Starts an attempt, or waits until a cold server may get it."""
+        if self.is_settled or self._start_attempt():
+            return
+        if not self._wait_for_cold_server():
             self._settle()
 
     def abandon(self) -> None:
@@ -166,6 +175,17 @@
             return False
         # An attempt that is still connecting counts, as it will be sent too.
         is_extra = bool(self.attempts or self._running)
+    def _wait_for_cold_server(self) -> bool:
+        is_paced = self._context.selector.has_paced(
+            self._route, self.service, self._tried
+        )
+        if is_paced:
+            self._stop_timer()
+            self._timer = asyncio.get_running_loop().call_later(
+                base.to_seconds(_COLD_RETRY_MS), self._start_or_wait
+            )
+        return is_paced
+
         if is_extra and not self._context.budget(self.service).try_take(
             self._context.catalog.host_count, is_hedge
         ):
@@ -292,14 +312,10 @@
         self._tried.clear()
         self._stop_timer()
         self._timer = asyncio.get_running_loop().call_later(
-            base.to_seconds(_OVERLOAD_RETRY_MS), self._retry_after_overload
+            base.to_seconds(_OVERLOAD_RETRY_MS), self._start_or_wait
         )
         return True
 
-    def _retry_after_overload(self) -> None:
-        if not self.is_settled and not self._start_attempt():
-            self._settle()
-
     def _may_retry(self) -> bool:
         return self._route.is_idempotent or not self.has_run
 
@@ -307,6 +323,8 @@
         self._stop_timer()
         if not self._route.is_idempotent:
             return
+        if self._wait_for_cold_server():
+            return True
         self._timer = asyncio.get_running_loop().call_later(
             base.to_seconds(delay_ms), self._hedge
         )
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -104,6 +104,20 @@
 
 class CatalogTest(unittest.TestCase):
 
+    def test_catalog_is_complete_in_either_order(self) -> None:
+        # A request at the start waits until the catalog is complete.
+        table = gateway.RoutingTable(version=1, routes=(), services={})
+        for is_table_first in (True, False):
+            with self.subTest(is_table_first):
+                catalog = gateway.create_catalog(
+                    _clocks.create_manual_clock(), {}
+                )
+                if is_table_first:
+                    catalog.set_table(table)
+                catalog.retain_servers(frozenset(), 0.0)
+                catalog.set_table(table)
+                self.assertTrue(asyncio.run(catalog.wait_until_complete(0.0)))
+
     def test_registration_that_ends_twice_is_removed_once(self) -> None:
         # After an outage a registration lapses within the grace period; then
         # a listing lacks the server while its removal is still pending.
