List resources again, check each audit record, share no ports between runs

Ruled out: writing all records again at each number, which costs a write for each of 50 changes; a range of ports for each process, which still can collide. Change: a watch lasts 10 s at most, then lists; each record above the last audited number is looked up, also after an own commit; failed writes are logged; a port is reserved by a locked file until its process ends. Memberships.leads, which nothing used, is gone.

--- a/packages/daemon/cowslipvalve_daemon/_memberships.py
+++ b/packages/daemon/cowslipvalve_daemon/_memberships.py
@@ -97,17 +97,6 @@
         """
         return self.host in policy.rank_names(self._live_hosts, key)[:count]
 
-    def leads(self, key: str) -> bool:
-        """Whether this host ranks first for a role among all live hosts."""
-        live = [
-            record.host
-            for record in self.list_other_hosts()
-            if record.state is model.HostState.LIVE
-        ]
-        if self._state is not model.HostState.LIVE:
-            return False
-        return policy.choose_name([*live, self.host], key) == self.host
-
     def _publish_own_record(self) -> None:
         record = model.HostRecord(
             host=self.host,
--- a/packages/daemon/cowslipvalve_daemon/_watchers.py
+++ b/packages/daemon/cowslipvalve_daemon/_watchers.py
@@ -16,7 +16,8 @@
 _LOGGER = logging.getLogger(__name__)
 _RETRY_MS = 500  # The wait before retrying after a platform failure.
 _ROLE_CHECK_MS = 500
-_RELOAD_MS = 10_000  # Bounds the effect of an event that a watch lost.
+_RELOAD_MS = 10_000  # Bounds the effect of another watcher's commit.
+_RELIST_MS = 10_000  # Bounds the effect of an event that a watch lost.
 _DEBOUNCE_MS = 50  # Changes within this time go into one configuration.
 _WATCHERS_PER_DOMAIN = 2
 WATCHER_ROLE_KEY = "platform-watcher"
@@ -128,7 +129,8 @@
         self._configurations.install(
             model.compute_full_delta(committed.configuration)
         )
-        self._audited_number = committed.head.number
+        # The next pass checks that all audit records were written.
+        self._changed.set()
         for change in compilation.changes:
             model.log_event(
                 _LOGGER,
@@ -150,7 +152,7 @@
             or not self._memberships.has_role(WATCHER_ROLE_KEY, 1)
         ):
             return
-        await self._store.complete_audit(head)
+        await self._store.complete_audit(head, self._audited_number)
         self._audited_number = head.number
 
     async def _watch_kind(self, kind: str) -> None:
@@ -170,7 +172,12 @@
     async def _list_and_watch(self, kind: str) -> None:
         listed = await self._client.list(kind)
         self._replace_objects(kind, listed.items)
-        async for event in self._client.watch(kind, listed.resource_version):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(model.to_seconds(_RELIST_MS)):
+                await self._watch_from(kind, listed.resource_version)
+
+    async def _watch_from(self, kind: str, resource_version: int) -> None:
+        async for event in self._client.watch(kind, resource_version):
             self._apply_event(event)
             if not self.is_watching:
                 return
--- a/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_placement_sessions.py
@@ -63,6 +63,20 @@
         await deployment.put_platform_faults(away=True)
         await self._check_no_work(deployment, _DOMAIN)
 
+    async def test_placement_takes_effect_although_its_event_was_lost(
+        self,
+    ) -> None:
+        deployment = await self.start()
+        await deployment.put_platform_faults(omits_events=True)
+        await _placements.write_placement(
+            deployment, "FailureDomain", _DOMAIN, "out"
+        )
+        await asyncio.sleep(1.0)
+        await deployment.put_platform_faults(omits_events=False)
+        # Watchers list all resources again after 10 s.
+        await asyncio.sleep(10.0)
+        await self._check_no_work(deployment, _DOMAIN)
+
     async def test_host_without_platform_learns_the_placement(self) -> None:
         deployment = await self.start()
         await deployment.kill_host(_OTHER_HOST)
--- a/packages/store/cowslipvalve_store/_configurations.py
+++ b/packages/store/cowslipvalve_store/_configurations.py
@@ -1,6 +1,6 @@
 """Storage of the accepted configuration in the platform."""
 
-import contextlib
+import logging
 import uuid
 
 import attrs
@@ -9,6 +9,7 @@
 from cowslipvalve_store import _client
 from cowslipvalve_store import _objects
 
+_LOGGER = logging.getLogger(__name__)
 HEAD_KIND = "AcceptedConfiguration"
 PART_KIND = "ConfigurationPart"
 AUDIT_KIND = "AuditRecord"
@@ -115,20 +116,26 @@
             configuration=configuration, head=head, resource_version=version
         )
 
-    async def complete_audit(self, head: ConfigurationHead) -> None:
-        """Writes the audit records that an interrupted commit left unwritten.
+    async def complete_audit(
+        self, head: ConfigurationHead, audited_number: int = 0
+    ) -> None:
+        """Writes the audit records that commits left unwritten.
+
+        Each record is looked up, because any write can fail alone.
 
-        Records are written in order, so if the last one exists, so do the
-        others.
+        Args:
+          head: The head, which keeps the newest changes.
+          audited_number: The number up to which all records are known to exist.
         """
-        if not head.changes:
-            return
-        try:
-            await self._client.get(
-                AUDIT_KIND, _compute_record_name(head.changes[-1])
-            )
-        except model.NotFoundError:
-            await self._write_audit_records(head.changes)
+        missing = []
+        for change in head.changes:
+            if change.number <= audited_number:
+                continue
+            try:
+                await self._client.get(AUDIT_KIND, _compute_record_name(change))
+            except model.NotFoundError:
+                missing.append(change)
+        await self._write_audit_records(tuple(missing))
 
     async def _write_parts(
         self, configuration: model.Configuration, attempt_id: str
@@ -189,16 +196,32 @@
             item = _objects.create_object(
                 AUDIT_KIND, _compute_record_name(change), model.to_plain(change)
             )
-            # The head keeps the change, from which complete_audit() writes the
-            # record later.
-            with contextlib.suppress(model.PlatformError):
+            try:
                 await self._client.create(item)
+            except model.PlatformError as error:
+                # The head keeps the change, from which complete_audit() writes
+                # the record later.
+                _log_failed_write(item.metadata.name, error)
 
     async def _delete_parts(self, names: tuple[str, ...]) -> None:
         for name in names:
-            # A part that could not be deleted is never read again.
-            with contextlib.suppress(model.PlatformError):
+            try:
                 await self._client.delete(PART_KIND, name)
+            except model.PlatformError as error:
+                # A part that could not be deleted is never read again.
+                _log_failed_write(name, error)
+
+
+def _log_failed_write(name: str, error: model.PlatformError) -> None:
+    model.log_event(
+        _LOGGER,
+        "platform-write-failed",
+        logging.WARNING,
+        object=name,
+        step=error.step,
+        peer=error.peer,
+        error=error,
+    )
 
 
 def _compute_record_name(change: model.ConfigurationChange) -> str:
--- a/packages/store/cowslipvalve_store/tests/test_configurations.py
+++ b/packages/store/cowslipvalve_store/tests/test_configurations.py
@@ -106,3 +106,15 @@
         listed = await self.client.list(store.AUDIT_KIND)
         self.assertEqual(len(listed.items), 1)
         self.assertEqual(listed.items[0].spec["operator"], "aino")
+
+    async def test_each_missing_audit_record_is_written(self) -> None:
+        # The write of a record can fail while a later one succeeds.
+        for number in (1, 2, 3):
+            await self.commit(number)
+        listed = await self.client.list(store.AUDIT_KIND)
+        names = {item.metadata.name for item in listed.items}
+        await self.client.delete(store.AUDIT_KIND, min(names))
+        head = (await self.store.load()).head
+        await self.store.complete_audit(head)
+        listed = await self.client.list(store.AUDIT_KIND)
+        self.assertEqual({item.metadata.name for item in listed.items}, names)
--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -1,6 +1,7 @@
 """Runs a platform, backend servers and daemons as local processes."""
 
 import asyncio
+import fcntl
 import pathlib
 import random
 import shutil
@@ -9,7 +10,7 @@
 import sys
 import tempfile
 from collections.abc import Iterable, Sequence
-from typing import Any
+from typing import IO, Any
 
 import aiohttp
 import attrs
@@ -25,14 +26,16 @@
 _LOOPBACK = "127.0.0.1"
 _FIRST_PORT = 20_000
 _LAST_PORT = 32_000  # The ephemeral ports of Linux begin at 32768.
-_used_ports: set[int] = set()
+# The locked file of each port that this process has reserved.
+_locks: dict[int, IO[str]] = {}
 
 
 def choose_ports(count: int) -> list[int]:
     """Returns free ports outside the ephemeral port range of Linux.
 
-    Outgoing connections do not use these ports. No port is returned twice, so
-    that deployments can reserve ports before their processes bind them.
+    Outgoing connections do not use these ports. No port is returned twice, to
+    this process or to another one that runs now, so that deployments can
+    reserve ports before their processes bind them.
     """
     candidates = list(range(_FIRST_PORT, _LAST_PORT))
     random.shuffle(candidates)
@@ -40,12 +43,25 @@
     while len(ports) < count:
         port = candidates.pop()
         with socket.socket() as probe:
-            if port not in _used_ports and _can_bind(probe, port):
+            if port not in _locks and _can_bind(probe, port) and _lock(port):
                 ports.append(port)
-    _used_ports.update(ports)
     return ports
 
 
+def _lock(port: int) -> bool:
+    """Reserves a port until this process ends; returns whether it was free."""
+    folder = pathlib.Path(tempfile.gettempdir()) / "cowslipvalve-ports"
+    folder.mkdir(exist_ok=True)
+    file = (folder / str(port)).open("w")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        file.close()
+        return False
+    _locks[port] = file
+    return True
+
+
 def _can_bind(probe: socket.socket, port: int) -> bool:
     try:
         probe.bind((_LOOPBACK, port))
--- a/standins/cowslipvalve_standins/_platform.py
+++ b/standins/cowslipvalve_standins/_platform.py
@@ -30,6 +30,8 @@
     delay_ms: float = 0.0
     # The number of upcoming writes that are executed without an answer.
     lost_answers: int = 0
+    # Whether watches omit the events that occur now.
+    omits_events: bool = False
     # The age at which a new list of hosts becomes visible, in ms.
     host_lag_ms: float = 2_000.0
 
@@ -137,7 +139,7 @@
         for number, event_kind, line in list(self._events):
             if number <= version:
                 continue
-            if event_kind == kind:
+            if event_kind == kind and not self.faults.omits_events:
                 await response.write(line)
             version = number
         return version
