Let a failure domain's hosts ask the shards of a large fan-out in groups

Cause: each of 195 hosts asked 87 shards by itself. It saw a query every few seconds, so that three quarters of the attempts opened a connection and servers reset those over their cap; its share of the retry slack was below two attempts in 10 s, so that hedges were refused; a weak host spent 0.15 s of processor time on a query. Ruled out: a subset of the servers for each host (a shard has two servers); all groups on all hosts (more messages, weaker hosts). Change: a planner divides the shards into groups of 15 ms of processor time and assigns each to a preferred host of the domain and a substitute, strong hosts first; the entry host sends a request a group and merges streamed reports; silence of 60 ms or a broken connection leads to the substitute, then to asking directly. Those who ask share slack, connections and cold rate. Hosts that drain finish the requests of others. A merge sorts instead of using a heap.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -27,6 +27,18 @@
 from cowslipvalve_gateway._followers import create_state_follower
 from cowslipvalve_gateway._gateways import Gateway
 from cowslipvalve_gateway._gateways import create_gateway
+from cowslipvalve_gateway._groupclients import GroupClient
+from cowslipvalve_gateway._groupclients import create_group_client
+from cowslipvalve_gateway._grouphandlers import GroupHandler
+from cowslipvalve_gateway._grouphandlers import create_group_handler
+from cowslipvalve_gateway._groupmessages import GROUP_PATH
+from cowslipvalve_gateway._groupmessages import GroupReport
+from cowslipvalve_gateway._groupmessages import GroupRequest
+from cowslipvalve_gateway._groupplans import GroupPlanner
+from cowslipvalve_gateway._groupplans import ShardGroup
+from cowslipvalve_gateway._groupplans import create_group_planner
+from cowslipvalve_gateway._hosthealth import HostHealth
+from cowslipvalve_gateway._hosthealth import create_host_health
 from cowslipvalve_gateway._hostclients import HostClient
 from cowslipvalve_gateway._hostclients import StateHandler
 from cowslipvalve_gateway._hostclients import create_host_client
@@ -79,9 +91,16 @@
     "CallerRequest",
     "Catalog",
     "CatalogMaintenance",
+    "GROUP_PATH",
     "Gateway",
+    "GroupClient",
+    "GroupHandler",
+    "GroupPlanner",
+    "GroupReport",
+    "GroupRequest",
     "HistoryGoneError",
     "HostClient",
+    "HostHealth",
     "HostRecord",
     "HostUnavailableError",
     "StateItem",
@@ -109,6 +128,7 @@
     "ServerProtocol",
     "ServerState",
     "Service",
+    "ShardGroup",
     "Share",
     "Splitter",
     "StateHandler",
@@ -125,7 +145,11 @@
     "create_catalog",
     "create_catalog_maintenance",
     "create_gateway",
+    "create_group_client",
+    "create_group_handler",
+    "create_group_planner",
     "create_host_client",
+    "create_host_health",
     "create_loop_lag",
     "create_measurements",
     "create_server_selector",
--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -30,7 +30,7 @@
 class AttemptBudget:
     """Counts the requests and the extra attempts of one service.
 
-    Every host counts its own requests and uses an equal share of the slack, so
+    Every host counts its own requests and uses its share of the slack, so
     that all hosts together stay within the bounds without communicating.
 
     Attributes:
@@ -53,16 +53,17 @@
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
 
-    def compute_remaining(self, hosts: int) -> float:
+    def compute_remaining(self, hosts: float) -> float:
         """Returns how many more extra attempts this window allows.
 
         Args:
-          hosts: The number of hosts that share the slack.
+          hosts: The number of hosts that share the slack, or the reciprocal
+            of this host's share where the shares differ.
         """
         self._evict_expired()
         return self._compute_allowance(hosts) - len(self._extra_attempts)
 
-    def _compute_allowance(self, hosts: int) -> float:
+    def _compute_allowance(self, hosts: float) -> float:
         slack = self.bounds.slack * _USABLE_SLACK_SHARE / max(1, hosts)
         return self.bounds.ratio * len(self._requests) + slack
 
@@ -72,7 +73,7 @@
             while times and times[0] < start_ms:
                 times.popleft()
 
-    def try_take(self, hosts: int, is_hedge: bool = False) -> bool:
+    def try_take(self, hosts: float, is_hedge: bool = False) -> bool:
         """Takes one extra attempt if allowed; hedges leave some for retries."""
         remaining = self.compute_remaining(hosts)
         if is_hedge:
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -6,12 +6,16 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _answerbounds
+from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
 # Used until the hosts are known; the size of the smallest deployments.
 _DEFAULT_HOST_COUNT = 8
+# The records of all hosts that start together are known after this time.
+_HOSTS_SETTLED_MS = 3_000.0
 _MIN_CONNECTIONS = 2  # One for a request and one for a hedge.
 
 _logger = logging.getLogger(__name__)
@@ -36,13 +40,25 @@
       domains_out: The failure domains that receive no requests.
       hosts: The records of the deployment's hosts by name.
       has_servers: Whether a whole listing of the servers was received.
+      planner: Plans which hosts ask the shards of a fan-out; None if each
+        host asks all of them.
     """
 
-    def __init__(self, clock: base.Clock, regions: dict[str, str]) -> None:
+    def __init__(
+        self,
+        clock: base.Clock,
+        regions: dict[str, str],
+        planner: _groupplans.GroupPlanner | None,
+        memory: _answerbounds.AnswerMemory,
+    ) -> None:
         self._clock = clock
+        self._memory = memory
         self._regions = regions
+        self.planner = planner
         self.table: _resources.RoutingTable | None = None
         self._table_ms = clock.now_ms()
+        self._hosts_ms = clock.now_ms()
+        self._fan_out_services: frozenset[str] = frozenset()
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
         self._pending_removals: dict[str, _PendingRemoval] = {}
@@ -91,7 +107,7 @@
         The unit is requests per second; 0 means that there is no bound.
         """
         found = self.table.services.get(service) if self.table else None
-        return found.cold_rate / self.host_count if found else 0.0
+        return found.cold_rate / self.count_sharers(service) if found else 0.0
 
     async def wait_until_complete(self, timeout_ms: float) -> bool:
         """Waits until the catalog is complete; returns False on a timeout."""
@@ -113,10 +129,11 @@
             return
         self.table = table
         self._table_ms = self._clock.now_ms()
-        for view in self._views.values():
-            view.pool.max_connections = self._compute_max_connections(
-                view.server
-            )
+        self._fan_out_services = frozenset(
+            service for route in table.routes for service in route.shards
+        )
+        self._update_shares()
+        self._update_completeness()
         base.log_event(_logger, "configuration", old=old, version=table.version)
 
     @property
@@ -127,10 +144,30 @@
     def set_hosts(self, hosts: dict[str, _resources.HostRecord]) -> None:
         """Replaces the hosts of the deployment."""
         old = self.host_count
+        is_changed = hosts != self.hosts
         self.hosts = hosts
-        if self.host_count == old:
+        if not is_changed:
             return
+        self._hosts_ms = self._clock.now_ms()
         base.log_event(_logger, "hosts", old=old, count=self.host_count)
+        self._update_shares()
+
+    def count_sharers(self, service: str) -> float:
+        """Returns the reciprocal of this host's share of a service's limits.
+
+        That is the number of hosts where all have equal shares.
+        """
+        if self.planner is None or not self.hosts:
+            return float(self.host_count)
+        return 1.0 / self.planner.find_share(service)
+
+    def _update_shares(self) -> None:
+        """Applies a change of the routes or the hosts to the limits."""
+        if self.planner is not None and self.table is not None:
+            self.planner.update(
+                (route.shards for route in self.table.routes if route.shards),
+                self.hosts,
+            )
         for view in self._views.values():
             view.pool.max_connections = self._compute_max_connections(
                 view.server
@@ -211,13 +248,28 @@
                 self._remove(name, "lapsed")
 
     def unprepared_pools(self) -> list[_pools.ServerPool]:
-        """Returns the pools that have not been prepared yet."""
+        """Returns the pools to be prepared, of services that this host asks."""
         return [
             view.pool
             for view in self._views.values()
             if not view.pool.is_prepared
+            and self._may_prepare(view.server.service)
         ]
 
+    def _may_prepare(self, service: str) -> bool:
+        """Whether connections to a service's servers are opened ahead.
+
+        While hosts still start, each of them would count as one that asks.
+        """
+        if self.planner is None:
+            return True
+        if self._clock.now_ms() - self._hosts_ms < _HOSTS_SETTLED_MS:
+            return not self._is_fan_out_service(service)
+        return self.planner.is_asker(service)
+
+    def _is_fan_out_service(self, service: str) -> bool:
+        return service in self._fan_out_services
+
     def min_connect_ms(self, domain: str) -> float:
         """Returns the shortest connect time to any server of a domain, in ms.
 
@@ -242,7 +294,10 @@
 
     def _add(self, server: _resources.Server) -> None:
         view = _servers.create_server_view(
-            self._clock, server, self._compute_max_connections(server)
+            self._clock,
+            server,
+            self._compute_max_connections(server),
+            self._memory,
         )
         self._views[server.instance_id] = view
         self._by_service.setdefault(server.service, []).append(view)
@@ -271,14 +326,24 @@
         )
         if service is None:
             return _MIN_CONNECTIONS
-        return max(_MIN_CONNECTIONS, service.max_connections // self.host_count)
+        share = service.max_connections / self.count_sharers(server.service)
+        return max(_MIN_CONNECTIONS, int(share))
 
 
-def create_catalog(clock: base.Clock, regions: dict[str, str]) -> Catalog:
+def create_catalog(
+    clock: base.Clock,
+    regions: dict[str, str],
+    planner: _groupplans.GroupPlanner | None = None,
+    limits: _answerbounds.AnswerLimits | None = None,
+) -> Catalog:
     """Creates an empty catalog.
 
     Args:
       clock: The clock of the process.
       regions: The region of each failure domain.
+      planner: Plans the groups of this host's domain; None if this host asks
+        all shards itself.
+      limits: The limits on servers' answers; None for the defaults.
     """
-    return Catalog(clock, regions)
+    memory = _answerbounds.create_answer_memory(limits)
+    return Catalog(clock, regions, planner, memory)
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -1,9 +1,11 @@
 """Fan-out requests, which go to every shard."""
 
 import asyncio
+from collections.abc import Collection
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _groupcalls
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
@@ -20,9 +22,10 @@
 class FanOut:
     """Sends a request to all shards of a route and merges their answers.
 
-    Until shortly before the route's target time, the fan-out waits for a part
-    from every shard. From then on it returns as soon as the parts reach the
-    route's minimum coverage.
+    The shards of a large fan-out are asked by several hosts, in groups; those
+    of a small one by this host. Until shortly before the route's target time,
+    the fan-out waits for a part from every shard. From then on it returns as
+    soon as the parts reach the route's minimum coverage.
     """
 
     def __init__(
@@ -43,6 +46,23 @@
             request.received_ms + route.target_ms - response_margin_ms
         )
         self._changed = asyncio.Event()
+        self._parts: list[_groupcalls.Parts] = []
+        self._answered: set[str] = set()
+        self._failed_count = 0
+        planner = context.catalog.planner
+        groups = planner.find_groups(route.shards) if planner else ()
+        self._group_calls = [
+            _groupcalls.GroupCall(
+                context,
+                request,
+                route,
+                group,
+                self._target_ms,
+                deadline_ms,
+                self,
+            )
+            for group in groups
+        ]
         self._calls = [
             _servicecalls.ServiceCall(
                 context,
@@ -52,35 +72,37 @@
                 deadline_ms,
                 self._record_settled,
             )
-            for service in route.shards
+            for service in (() if groups else route.shards)
         ]
-        self._parts: list[_calls.ServerAnswer] = []
-        self._failed_count = 0
 
     @property
     def attempts(self) -> int:
-        """The number of attempts that were sent to servers."""
-        return sum(call.attempts for call in self._calls)
+        """The number of attempts that this host sent to servers."""
+        own = sum(call.attempts for call in self._calls)
+        return own + sum(call.attempts for call in self._group_calls)
 
     @property
     def unanswered(self) -> list[str]:
-        """Descriptions of the calls to shards that gave no part."""
+        """Descriptions of the shards that gave no part."""
+        described = {call.service: call.describe() for call in self._calls}
         return [
-            call.describe()
-            for call in self._calls
-            if call.answer is None or not call.answer.is_success
+            described.get(shard, shard)
+            for shard in self._route.shards
+            if shard not in self._answered
         ]
 
     async def run(self) -> _calls.Outcome:
         """Returns the merged answer, or a refusal if coverage is too low."""
         for call in self._calls:
             call.start()
+        for group_call in self._group_calls:
+            group_call.start()
         try:
             await self._wait()
         except asyncio.CancelledError:
             self._abandon_all()
             raise
-        if self._route.meets_coverage(len(self._parts)):
+        if self._route.meets_coverage(len(self._answered)):
             self._abandon_unsettled()
             return self._merge()
         self._abandon_all()
@@ -88,7 +110,22 @@
         reason = _calls.RefusalReason.LOW_COVERAGE
         if is_late:
             reason = _calls.RefusalReason.TIMEOUT
-        return _singlecalls.create_refusal(reason, self.attempts > 0)
+        return _singlecalls.create_refusal(reason, self._may_have_run())
+
+    def add_parts(self, parts: _groupcalls.Parts) -> None:
+        """Takes parts of shards that had none."""
+        self._parts.append(parts)
+        self._answered.update(parts.shards)
+        self._changed.set()
+
+    def add_failed(self, shards: Collection[str]) -> None:
+        """Counts shards that will have no part."""
+        self._failed_count += len(shards)
+        self._changed.set()
+
+    def _may_have_run(self) -> bool:
+        was_accepted = any(call.was_accepted for call in self._group_calls)
+        return was_accepted or self.attempts > 0
 
     async def _wait(self) -> None:
         while not self._is_finished():
@@ -103,25 +140,24 @@
                 continue
 
     def _is_finished(self) -> bool:
-        total = len(self._calls)
-        if len(self._parts) + self._failed_count >= total:
+        total = len(self._route.shards)
+        answered = len(self._answered)
+        if answered + self._failed_count >= total:
             return True
         if not self._route.meets_coverage(total - self._failed_count):
             return True
-        if (
-            self._route.meets_coverage(len(self._parts))
-            and self._is_rest_unresponsive()
-        ):
-            return True
-        now_ms = self._context.clock.now_ms()
-        if now_ms >= self._deadline_ms:
+        if not self._route.meets_coverage(answered):
+            return self._context.clock.now_ms() >= self._deadline_ms
+        if self._is_rest_unresponsive():
             return True
-        return now_ms >= self._target_ms and self._route.meets_coverage(
-            len(self._parts)
+        return self._context.clock.now_ms() >= min(
+            self._target_ms, self._deadline_ms
         )
 
     def _is_rest_unresponsive(self) -> bool:
         """Whether all unsettled shards have no responsive server."""
+        if self._group_calls:
+            return False
         unsettled = [call for call in self._calls if not call.is_settled]
         # Runs after each part, so the common case must be cheap.
         if len(unsettled) > _MAX_UNRESPONSIVE_SHARDS:
@@ -135,25 +171,35 @@
 
     def _merge(self) -> _calls.MergedAnswer:
         return _calls.MergedAnswer(
-            proofs=tuple(part.proof for part in self._parts),
-            missing=len(self._calls) - len(self._parts),
+            proofs=tuple(p for parts in self._parts for p in parts.proofs),
+            missing=len(self._route.shards) - len(self._answered),
             body=_merges.merge_records(
-                (part.body for part in self._parts), self._route.top_records
+                (parts.records for parts in self._parts),
+                self._route.top_records,
             ),
         )
 
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
-        if call.answer is not None and call.answer.is_success:
-            self._parts.append(call.answer)
-        else:
-            self._failed_count += 1
-        self._changed.set()
+        if call.answer is None or not call.answer.is_success:
+            self.add_failed((call.service,))
+            return
+        self.add_parts(
+            _groupcalls.Parts(
+                shards=(call.service,),
+                proofs=(call.answer.proof,),
+                records=call.answer.body,
+            )
+        )
 
     def _abandon_unsettled(self) -> None:
         for call in self._calls:
             if not call.is_settled:
                 call.abandon()
+        for group_call in self._group_calls:
+            group_call.abandon()
 
     def _abandon_all(self) -> None:
         for call in self._calls:
             call.abandon()
+        for group_call in self._group_calls:
+            group_call.abandon()
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -0,0 +1,174 @@
+"""Division of a fan-out's shards into groups, and the hosts that ask them.
+
+Answers the load of a fan-out over more shards than one host can ask in time.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _resources
+
+# One host asks up to so many shards within the targets, without another hop.
+_MAX_DIRECT_SHARDS = 40
+# Processor time of one part on a core of capacity 1.
+_PART_TIME_MS = 0.9
+# The processor time of a group; a shorter one costs the entry host more in
+# messages than the query gains.
+_GROUP_TIME_MS = 15.0
+_MIN_GROUP_SHARDS = 8
+# Hosts with less than this part of the greatest capacity ask no groups if
+# enough others do.
+_LEAST_CAPACITY_SHARE = 0.5
+_MIN_STRONG_HOSTS = 2
+# Shares of the limits on a service. Preferred hosts ask nearly all requests;
+# substitutes replace them; any host asks directly if both fail.
+_PREFERRED_SHARE = 0.5
+_SUBSTITUTE_SHARE = 0.25
+_OTHERS_SHARE = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class ShardGroup:
+    """Some shards of a route and the hosts of one domain that ask them."""
+
+    # The services of the shards.
+    shards: tuple[str, ...]
+    # The preferred host and, if there is one, its substitute.
+    hosts: tuple[_resources.HostRecord, ...]
+
+
+class GroupPlanner:
+    """Plans the groups of each set of shards for a host's own domain.
+
+    All hosts that know the same hosts make the same plan, so that few hosts
+    ask a server: their connections stay in use, and each has a share of the
+    limits on a service that suffices for its hedges.
+    """
+
+    def __init__(self, own: _resources.HostRecord) -> None:
+        self._own = own
+        self._hosts: dict[str, _resources.HostRecord] = {own.name: own}
+        self._groups: dict[tuple[str, ...], tuple[ShardGroup, ...]] = {}
+        self._shares: dict[str, float] = {}
+
+    def update(
+        self,
+        shard_sets: Iterable[tuple[str, ...]],
+        hosts: Mapping[str, _resources.HostRecord],
+    ) -> None:
+        """Replaces the plans.
+
+        Args:
+          shard_sets: The shards of each fan-out route.
+          hosts: The hosts of the deployment by name; this host is added.
+        """
+        self._hosts = {**hosts, self._own.name: self._own}
+        self._groups = {}
+        self._shares = {}
+        domains = _group_by_domain(self._hosts.values())
+        for shards in set(shard_sets):
+            self._groups[shards] = _create_groups(
+                shards, domains[self._own.domain]
+            )
+            self._add_shares(shards, domains)
+
+    def find_groups(self, shards: tuple[str, ...]) -> tuple[ShardGroup, ...]:
+        """Returns the groups of some shards, none if asked directly."""
+        return self._groups.get(shards, ())
+
+    def is_asker(self, service: str) -> bool:
+        """Whether this host usually asks a service."""
+        return self.find_share(service) * len(self._hosts) > _OTHERS_SHARE
+
+    def find_share(self, service: str) -> float:
+        """Returns this host's share, at most 1, of the limits on a service."""
+        return self._shares.get(service, 1.0 / len(self._hosts))
+
+    def _add_shares(
+        self,
+        shards: tuple[str, ...],
+        domains: Mapping[str, list[_resources.HostRecord]],
+    ) -> None:
+        grouped = [d for d, h in domains.items() if _create_groups(shards, h)]
+        if not grouped:
+            return
+        direct_hosts = sum(
+            len(hosts) for d, hosts in domains.items() if d not in grouped
+        )
+        # A host that asks directly has the load of a part of a domain.
+        sharers = len(grouped) + direct_hosts
+        for service in shards:
+            share = _OTHERS_SHARE / len(self._hosts)
+            if self._own.domain not in grouped:
+                share += _PREFERRED_SHARE / sharers
+            self._shares[service] = max(self._shares.get(service, 0.0), share)
+        for group in self._groups[shards]:
+            for index, host in enumerate(group.hosts):
+                if host.name != self._own.name:
+                    continue
+                part = _SUBSTITUTE_SHARE if index else _PREFERRED_SHARE
+                for service in group.shards:
+                    self._shares[service] += part / sharers
+
+
+def _group_by_domain(
+    hosts: Iterable[_resources.HostRecord],
+) -> dict[str, list[_resources.HostRecord]]:
+    domains: dict[str, list[_resources.HostRecord]] = {}
+    for host in hosts:
+        domains.setdefault(host.domain, []).append(host)
+    return domains
+
+
+def _create_groups(
+    shards: tuple[str, ...], hosts: list[_resources.HostRecord]
+) -> tuple[ShardGroup, ...]:
+    """Returns the groups of a domain, none if its hosts ask directly."""
+    if len(shards) <= _MAX_DIRECT_SHARDS or len(hosts) <= 1:
+        return ()
+    candidates = {host.name: host for host in _select_strong(hosts)}
+    least = min(host.capacity for host in candidates.values())
+    size = max(_MIN_GROUP_SHARDS, int(_GROUP_TIME_MS * least / _PART_TIME_MS))
+    # Independent of the number of hosts, as another number moves all shards.
+    count = math.ceil(len(shards) / size)
+    max_groups = math.ceil(count / len(candidates))
+    taken: dict[str, int] = dict.fromkeys(candidates, 0)
+    groups = []
+    for index in range(count):
+        members = shards[index::count]
+        ranked = base.rank_names(candidates, members[0])
+        preferred = next(n for n in ranked if taken[n] < max_groups)
+        taken[preferred] += 1
+        others = [name for name in ranked if name != preferred]
+        names = (preferred, *others[:1])
+        groups.append(
+            ShardGroup(
+                shards=members, hosts=tuple(candidates[n] for n in names)
+            )
+        )
+    return tuple(groups)
+
+
+def _select_strong(
+    hosts: list[_resources.HostRecord],
+) -> list[_resources.HostRecord]:
+    """Returns the hosts of great capacity, or all if those are too few."""
+    greatest = max(host.capacity for host in hosts)
+    strong = [
+        host
+        for host in hosts
+        if host.capacity >= _LEAST_CAPACITY_SHARE * greatest
+    ]
+    return strong if len(strong) >= _MIN_STRONG_HOSTS else hosts
+
+
+def create_group_planner(own: _resources.HostRecord) -> GroupPlanner:
+    """Creates a planner that knows only its own host.
+
+    Args:
+      own: The record of this host.
+    """
+    return GroupPlanner(own)
--- a/packages/gateway/cowslipvalve_gateway/_merges.py
+++ b/packages/gateway/cowslipvalve_gateway/_merges.py
@@ -1,6 +1,5 @@
 """Merging of records from several shards."""
 
-import heapq
 from collections.abc import Iterable
 
 RECORD_BYTES = 16  # All searches use records of this size.
@@ -24,5 +23,6 @@
       bodies: The bodies of the parts, with records in any order.
       count: The maximum number of records to return.
     """
-    records = (record for body in bodies for record in split_records(body))
-    return b"".join(heapq.nlargest(count, records))
+    records = [record for body in bodies for record in split_records(body)]
+    records.sort(reverse=True)
+    return b"".join(records[:count])
--- a/packages/gateway/cowslipvalve_gateway/_resources.py
+++ b/packages/gateway/cowslipvalve_gateway/_resources.py
@@ -160,5 +160,8 @@
     name: str
     # Its failure domain.
     domain: str
-    # The address at which other hosts read its state, empty if there is none.
+    # The address at which other hosts read its state and send it requests,
+    # empty if there is none.
     state_address: str
+    # Its processor capacity in cores of usual speed.
+    capacity: float = 1.0
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -11,6 +11,8 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _groupclients
+from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
@@ -27,10 +29,10 @@
 _UNSENT_HEDGE_TARGET_SHARE = 0.3  # Connecting takes longer than any round trip.
 # Leaves time for a second attempt of this length.
 _DEFAULT_HEDGE_TARGET_SHARE = 0.25
-_FIRST_SERVER_ERROR = 500
-
 # How often a call checks whether a cold server may get its request.
 _COLD_RETRY_MS = 20.0
+_FIRST_SERVER_ERROR = 500
+
 _logger = logging.getLogger(__name__)
 
 
@@ -50,6 +52,12 @@
     measurements: _measurements.Measurements
     # The clock of the process.
     clock: base.Clock
+    # The name of this host.
+    own_name: str
+    # Sends group requests to other hosts.
+    groups: _groupclients.GroupClient
+    # Which other hosts have failed recently.
+    host_health: _hosthealth.HostHealth
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
@@ -112,12 +120,26 @@
         service: str,
         deadline_ms: float,
         on_settled: Callable[["ServiceCall"], None],
+        is_repeat: bool = False,
     ) -> None:
+        """Creates a call that is not started.
+
+        Args:
+          context: The state that all calls share.
+          request: The caller's request.
+          route: The request's route.
+          service: The service to ask.
+          deadline_ms: When to give up, on the process's clock.
+          on_settled: Called once the outcome is final.
+          is_repeat: Whether another host may have sent the request to the
+            service, so that the first attempt is an extra one too.
+        """
         self._context = context
         self._request = request
         self._route = route
         self._deadline_ms = deadline_ms
         self._on_settled = on_settled
+        self._is_repeat = is_repeat
         self._tried: list[_servers.ServerView] = []
         self._running: list[_Attempt] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -153,6 +175,17 @@
         if not self._wait_for_cold_server():
             self._settle()
 
+    def _wait_for_cold_server(self) -> bool:
+        is_paced = self._context.selector.has_paced(
+            self._route, self.service, self._tried
+        )
+        if is_paced:
+            self._stop_timer()
+            self._timer = asyncio.get_running_loop().call_later(
+                base.to_seconds(_COLD_RETRY_MS), self._start_or_wait
+            )
+        return is_paced
+
     def abandon(self) -> None:
         """Cancels all attempts; an unsettled call ends as timed out."""
         if not self.is_settled:
@@ -174,20 +207,9 @@
         if view is None:
             return False
         # An attempt that is still connecting counts, as it will be sent too.
-        is_extra = bool(self.attempts or self._running)
-    def _wait_for_cold_server(self) -> bool:
-        is_paced = self._context.selector.has_paced(
-            self._route, self.service, self._tried
-        )
-        if is_paced:
-            self._stop_timer()
-            self._timer = asyncio.get_running_loop().call_later(
-                base.to_seconds(_COLD_RETRY_MS), self._start_or_wait
-            )
-        return is_paced
-
+        is_extra = bool(self.attempts or self._running or self._is_repeat)
         if is_extra and not self._context.budget(self.service).try_take(
-            self._context.catalog.host_count, is_hedge
+            self._context.catalog.count_sharers(self.service), is_hedge
         ):
             return False
         attempt = _Attempt(view=view, is_extra=is_extra)
@@ -305,6 +327,8 @@
             return True
         if self.attempts >= self._route.max_attempts or not self._tried:
             return False
+        if self._wait_for_cold_server():
+            return True
         if self.reason is not _calls.RefusalReason.OVERLOADED:
             return False
         # All servers were tried; an overloaded one may accept the request
@@ -323,8 +347,6 @@
         self._stop_timer()
         if not self._route.is_idempotent:
             return
-        if self._wait_for_cold_server():
-            return True
         self._timer = asyncio.get_running_loop().call_later(
             base.to_seconds(delay_ms), self._hedge
         )
@@ -375,6 +397,10 @@
             self._timer.cancel()
             self._timer = None
 
+    def _compute_remaining_budget(self) -> float:
+        sharers = self._context.catalog.count_sharers(self.service)
+        return self._context.budget(self.service).compute_remaining(sharers)
+
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
@@ -386,6 +412,6 @@
             server=view.server.instance_id,
             slowness=f"{view.slowness:.2f}",
             running=view.running,
-            budget=f"{self._context.budget(self.service).compute_remaining(self._context.catalog.host_count):.1f}",
+            budget=f"{self._compute_remaining_budget():.1f}",
             **fields,
         )
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_groupplans.py
@@ -0,0 +1,105 @@
+"""Unit tests of the plan by which hosts ask groups of shards."""
+
+import collections
+import unittest
+
+import cowslipvalve_gateway as gateway
+
+_SHARDS = tuple(f"shard-{number}" for number in range(87))
+_DOMAINS = ("a", "b", "c", "d", "e", "f")
+
+
+def _create_hosts(
+    per_domain: int, strong: int = 0
+) -> dict[str, gateway.HostRecord]:
+    return {
+        f"{domain}-{number}": gateway.HostRecord(
+            name=f"{domain}-{number}",
+            domain=domain,
+            state_address=f"10.0.0.{number}:1",
+            capacity=2.0 if number < strong else 0.5,
+        )
+        for domain in _DOMAINS
+        for number in range(per_domain)
+    }
+
+
+def _plan(
+    hosts: dict[str, gateway.HostRecord], own: str
+) -> gateway.GroupPlanner:
+    planner = gateway.create_group_planner(hosts[own])
+    planner.update([_SHARDS], hosts)
+    return planner
+
+
+class GroupPlannerTest(unittest.TestCase):
+
+    def test_groups_hold_each_shard_once(self) -> None:
+        for per_domain, strong in ((2, 0), (10, 0), (33, 3), (33, 1)):
+            with self.subTest(per_domain=per_domain, strong=strong):
+                hosts = _create_hosts(per_domain, strong)
+                groups = _plan(hosts, "a-0").find_groups(_SHARDS)
+                asked = [shard for group in groups for shard in group.shards]
+                self.assertCountEqual(asked, _SHARDS)
+                self.assertGreater(len(groups), 1)
+
+    def test_hosts_of_a_domain_agree(self) -> None:
+        hosts = _create_hosts(10)
+        plans = {
+            _plan(hosts, f"b-{number}").find_groups(_SHARDS)
+            for number in range(10)
+        }
+        self.assertEqual(len(plans), 1)
+
+    def test_groups_stay_in_the_domain_on_distinct_hosts(self) -> None:
+        groups = _plan(_create_hosts(33, 3), "c-7").find_groups(_SHARDS)
+        preferred = [group.hosts[0].name for group in groups]
+        self.assertEqual(len(groups), 3)
+        self.assertEqual(len(set(preferred)), len(groups))
+        for group in groups:
+            self.assertEqual({host.domain for host in group.hosts}, {"c"})
+            self.assertEqual({host.capacity for host in group.hosts}, {2.0})
+
+    def test_small_fan_outs_and_lone_hosts_ask_directly(self) -> None:
+        planner = _plan(_create_hosts(1), "a-0")
+        self.assertEqual(planner.find_groups(_SHARDS), ())
+        hosts = _create_hosts(10)
+        planner = gateway.create_group_planner(hosts["a-0"])
+        planner.update([_SHARDS[:30]], hosts)
+        self.assertEqual(planner.find_groups(_SHARDS[:30]), ())
+        self.assertEqual(planner.find_share(_SHARDS[0]), 1 / len(hosts))
+
+    def test_shares_of_all_hosts_stay_within_the_limit(self) -> None:
+        hosts = _create_hosts(33, 3)
+        # A domain of a single host asks directly.
+        for number in range(1, 33):
+            del hosts[f"f-{number}"]
+        planners = [_plan(hosts, name) for name in hosts]
+        for shard in _SHARDS:
+            shares = [planner.find_share(shard) for planner in planners]
+            self.assertLessEqual(sum(shares), 1.0 + 1e-9)
+            # Those who ask most have most of it.
+            self.assertGreater(sum(sorted(shares)[-12:]), 0.7)
+
+    def test_host_that_leaves_moves_few_shards(self) -> None:
+        hosts = _create_hosts(10)
+        before = _find_preferred(_plan(hosts, "a-0"))
+        leaving = collections.Counter(before.values()).most_common(1)[0][0]
+        del hosts[leaving]
+        own = next(name for name in hosts if name.startswith("a-"))
+        after = _find_preferred(_plan(hosts, own))
+        moved = [s for s in _SHARDS if before[s] != after[s]]
+        lost = [s for s in _SHARDS if before[s] == leaving]
+        self.assertLess(len(moved), 3 * len(lost))
+
+
+def _find_preferred(planner: gateway.GroupPlanner) -> dict[str, str]:
+    return {
+        shard: group.hosts[0].name
+        for group in planner.find_groups(_SHARDS)
+        for shard in group.shards
+    }
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -195,14 +195,29 @@
         return await self._create_and_start_host(self.addresses, **fields)
 
     async def add_host(
-        self, name: str, seeds: Sequence[str] = (), domain: str = "kuopio"
+        self,
+        name: str,
+        seeds: Sequence[str] = (),
+        domain: str = "kuopio",
+        **fields: Any,
     ) -> WireHost:
-        """Starts a further host that reaches the store by its own port."""
+        """Starts a further host that reaches the store by its own port.
+
+        Args:
+          name: The name of the host.
+          seeds: The state addresses of other hosts.
+          domain: The failure domain of the host.
+          **fields: Overrides of other settings.
+        """
         ports = _deployments.choose_ports(5)
         await web.TCPSite(self._runner, "127.0.0.1", ports[0]).start()
         addresses = [f"127.0.0.1:{port}" for port in ports]
         host = await self._create_and_start_host(
-            addresses, host=name, failure_domain=domain, seeds=tuple(seeds)
+            addresses,
+            host=name,
+            failure_domain=domain,
+            seeds=tuple(seeds),
+            **fields,
         )
         return WireHost(
             host=host,
