Let no host watch the store before the others know it

Cause: while 195 hosts start, the first list of hosts holds 17. Ruled out: a fixed time after the start in which only seeds watch; a watcher that restarts would stand aside for that time. Change: a host is a watcher only if its record is known; a watcher serves 40 hosts instead of 24.

--- a/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -7,7 +7,7 @@
 
 _WATCHER_RANKING_KEY = "store-watcher"
 # Each follower polls twice a second, which takes 1 ms of CPU time per poll.
-_FOLLOWERS_PER_WATCHER = 24
+_FOLLOWERS_PER_WATCHER = 40
 
 
 def choose_watchers(
@@ -42,13 +42,15 @@
     def is_watcher(self, hosts: Mapping[str, _resources.HostRecord]) -> bool:
         """Whether this host is to watch the store.
 
-        While no hosts are known, the seeds are the watchers.
+        While no hosts are known, the seeds are the watchers. A host whose own
+        record is not known yet is none: while many hosts start, few are known,
+        and each of the others would choose itself.
         """
         if not hosts:
             return self._own.state_address in self.seeds
-        watchers = choose_watchers(
-            {**hosts, self._own.name: self._own}, self._own.domain
-        )
+        if self._own.name not in hosts:
+            return False
+        watchers = choose_watchers(hosts, self._own.domain)
         return any(watcher.name == self._own.name for watcher in watchers)
 
     def near_sources(
