Connect ahead only to servers of services that this host asks

Ruled out: the servers' own resets (answer_lost begins at 16 s). Change: connections are opened ahead for services of single-server routes, and for shards of a route in force that this host asks in a group. Test: before, 198 hosts connect to a server of no route; after, none, and at most 12 to one whose route is in force.

--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -58,7 +58,9 @@
         self.table: _resources.RoutingTable | None = None
         self._table_ms = clock.now_ms()
         self._hosts_ms = clock.now_ms()
-        self._fan_out_services: frozenset[str] = frozenset()
+        # The services of the routes in force.
+        self._single_services: frozenset[str] = frozenset()
+        self._shards: frozenset[str] = frozenset()
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
         self._pending_removals: dict[str, _PendingRemoval] = {}
@@ -129,9 +131,12 @@
             return
         self.table = table
         self._table_ms = self._clock.now_ms()
-        self._fan_out_services = frozenset(
+        self._shards = frozenset(
             service for route in table.routes for service in route.shards
         )
+        self._single_services = frozenset(
+            part.service for route in table.routes for part in route.split
+        )
         self._update_shares()
         self._update_completeness()
         base.log_event(_logger, "configuration", old=old, version=table.version)
@@ -259,16 +264,16 @@
     def _may_prepare(self, service: str) -> bool:
         """Whether connections to a service's servers are opened ahead.
 
+        Only of services that this host asks: if each of many hosts connected to
+        servers that no route names yet, they would exceed the servers' limits.
         While hosts still start, each of them would count as one that asks.
         """
-        if self.planner is None:
+        if self.planner is None or service in self._single_services:
             return True
-        if self._clock.now_ms() - self._hosts_ms < _HOSTS_SETTLED_MS:
-            return not self._is_fan_out_service(service)
-        return self.planner.is_asker(service)
-
-    def _is_fan_out_service(self, service: str) -> bool:
-        return service in self._fan_out_services
+        if service not in self._shards:
+            return False
+        is_settled = self._clock.now_ms() - self._hosts_ms >= _HOSTS_SETTLED_MS
+        return is_settled and self.planner.is_asker(service)
 
     def min_connect_ms(self, domain: str) -> float:
         """Returns the shortest connect time to any server of a domain, in ms.
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -26,6 +26,7 @@
     """Opens, reuses and limits the connections to one server.
 
     Attributes:
+      address: The address of the server.
       max_connections: The maximum number of connections; 0 once the server is
         removed.
       connect_ms: The shortest connect time, infinite before the first connect.
@@ -40,7 +41,7 @@
         memory: _answerbounds.AnswerMemory,
     ) -> None:
         self._clock = clock
-        self._address = address
+        self.address = address
         self._memory = memory
         self.max_connections = max_connections
         self.connect_ms = float("inf")
@@ -95,7 +96,7 @@
             self.release(await self._connect())
         except _errors.UnsentError as error:
             base.log_event(
-                _logger, "not-prepared", server=self._address, error=error
+                _logger, "not-prepared", server=self.address, error=error
             )
 
     def release(self, connection: _connections.ServerConnection) -> None:
@@ -134,7 +135,7 @@
         return None
 
     async def _connect(self) -> _connections.ServerConnection:
-        host, port = base.split_address(self._address)
+        host, port = base.split_address(self.address)
         loop = asyncio.get_running_loop()
         started_ms = self._clock.now_ms()
         self._open += 1
@@ -142,7 +143,7 @@
             async with asyncio.timeout(base.to_seconds(_CONNECT_TIMEOUT_MS)):
                 _, connection = await loop.create_connection(
                     lambda: _connections.ServerConnection(
-                        self._address, self._memory
+                        self.address, self._memory
                     ),
                     host,
                     port,
@@ -150,7 +151,7 @@
         except OSError as error:  # TimeoutError is an OSError.
             self._open -= 1
             raise _errors.UnsentError(
-                f"cannot connect: {error!r}", step="connect", peer=self._address
+                f"cannot connect: {error!r}", step="connect", peer=self.address
             ) from error
         except BaseException:
             self._open -= 1
@@ -171,7 +172,7 @@
             raise _errors.PoolBusyError(
                 "all connections are in use",
                 step="connect",
-                peer=self._address,
+                peer=self.address,
             ) from error
 
     def _discard(self, connection: _connections.ServerConnection) -> None:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_groupplans.py
@@ -4,6 +4,7 @@
 import unittest
 
 import cowslipvalve_gateway as gateway
+from cowslipvalve_standins import _clocks
 
 _SHARDS = tuple(f"shard-{number}" for number in range(87))
 _DOMAINS = ("a", "b", "c", "d", "e", "f")
@@ -93,6 +94,62 @@
         self.assertLess(len(moved), 3 * len(lost))
 
 
+class PreparationTest(unittest.TestCase):
+
+    def test_few_hosts_connect_to_a_server_ahead(self) -> None:
+        # Servers of a new set of shards register before a route names them.
+        # If each of 198 hosts connected to them, servers that accept 120
+        # connections would reset the rest, and later those of requests.
+        hosts = _create_hosts(33, 3)
+        for shards, most in (((), 0), (_SHARDS, 12)):
+            with self.subTest(shards=len(shards)):
+                counts = collections.Counter[str]()
+                for own in hosts.values():
+                    counts.update(_find_prepared(own, hosts, shards))
+                self.assertLessEqual(max(counts.values(), default=0), most)
+
+
+def _find_prepared(
+    own: gateway.HostRecord,
+    hosts: dict[str, gateway.HostRecord],
+    shards: tuple[str, ...],
+) -> list[str]:
+    """Returns the addresses of the servers to which a host connects ahead."""
+    clock = _clocks.create_manual_clock()
+    catalog = gateway.create_catalog(
+        clock, {}, gateway.create_group_planner(own)
+    )
+    route = gateway.Route(
+        name="wide",
+        host="search.example",
+        path_prefix="/",
+        is_idempotent=True,
+        timeout_ms=1_000.0,
+        target_ms=200.0,
+        max_attempts=3,
+        shards=shards,
+    )
+    catalog.set_hosts(hosts)
+    catalog.set_table(
+        gateway.RoutingTable(
+            version=1, routes=(route,) if shards else (), services={}
+        )
+    )
+    for number, shard in enumerate(_SHARDS):
+        catalog.put_server(
+            gateway.Server(
+                instance_id=shard,
+                service=shard,
+                address=f"10.1.0.1:{number + 1}",
+                domain="a",
+                state=gateway.ServerState.READY,
+                slots=2,
+            )
+        )
+    clock.advance(10_000)
+    return [pool.address for pool in catalog.unprepared_pools()]
+
+
 def _find_preferred(planner: gateway.GroupPlanner) -> dict[str, str]:
     return {
         shard: group.hosts[0].name
