Leave the store to the regular watchers after a start, too

Ruled out: waiting longer for the seeds at a start without state, which would keep a lone host from getting ready.

--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -71,7 +71,8 @@
         self._own = own
         self._clock = clock
         self._started_ms = clock.now_ms()
-        self._store_lost_ms = float("-inf")
+        # A start counts as a return: the regular watchers go first.
+        self._store_lost_ms = clock.now_ms()
         self._near_searched_ms = float("-inf")
 
     async def unregister(self) -> None:
--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -26,6 +26,10 @@
     is_silent: bool = False
     # Carries out writes and resets the connection instead of answering.
     loses_answers: bool = False
+    # The kind whose calls take slow_ms longer, none if empty.
+    slow_kind: str = ""
+    # In ms.
+    slow_ms: float = 0.0
 
 
 class WireStore:
@@ -103,6 +107,8 @@
             await asyncio.sleep(60)
         if faults.status is not None:
             return web.Response(status=faults.status)
+        if request.match_info.get("kind") == faults.slow_kind:
+            await asyncio.sleep(faults.slow_ms / _MS_PER_S)
         response = await handler(request)
         if self.faults.is_silent and port in self.faults.ports:
             # A fault of given ports also holds up calls that began before it.
