--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -3,6 +3,7 @@
 from cowslipvalve_gateway._answerbounds import AnswerLimits
 from cowslipvalve_gateway._answerbounds import AnswerMemory
 from cowslipvalve_gateway._answerbounds import create_answer_memory
+from cowslipvalve_gateway._bodies import read_body
 from cowslipvalve_gateway._budgets import BudgetBounds
 from cowslipvalve_gateway._budgets import AttemptBudget
 from cowslipvalve_gateway._budgets import create_attempt_budget
@@ -161,5 +162,6 @@
     "create_state_replica",
     "create_watcher_choice",
     "merge_records",
+    "read_body",
     "start_logs",
 ]
--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _bodies
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _replicas
 from cowslipvalve_gateway import _statelogs
@@ -72,8 +73,13 @@
             async with self._session.get(
                 f"http://{address}{path}", params=query, timeout=timeout
             ) as response:
-                text = await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                text = await _bodies.read_body(response)
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            base.InputError,
+        ) as error:
             raise _create_unavailable_error(address, repr(error)) from error
         if response.status != _HTTP_OK:
             raise _create_unavailable_error(
