Keep the bounds on attempts when a host replaces another

Its shards have three servers and its routes two attempts: a host that fell silent may have used both, and its replacement chose a third server. Requests of a host that was connected, but had not reported yet, were repeated as if they were first attempts. Ruled out: one attempt less for the first host, which takes its hedges. Change: the first report names the server of each shard; a replacement uses only that one if more servers are usable than the route has attempts, and each of its attempts is an extra one unless the first host could not be connected to. The answer waits 6 ms less for the last reports; a group request's time is reduced by the host's lag, and servers get no time that has passed.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -31,6 +31,7 @@
 from cowslipvalve_base._outcomes import RETRYABLE_REASONS
 from cowslipvalve_base._rendezvous import rank_names
 from cowslipvalve_base._rendezvous import choose_name
+from cowslipvalve_base._rendezvous import compute_fraction
 from cowslipvalve_base._texts import TextEnum
 
 __all__ = [
@@ -53,6 +54,7 @@
     "UnknownOutcomeError",
     "from_plain_strict",
     "choose_name",
+    "compute_fraction",
     "create_clock",
     "decode",
     "decode_plain",
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -174,9 +174,7 @@
                 self.hosts,
             )
         for view in self._views.values():
-            view.pool.max_connections = self._compute_max_connections(
-                view.server
-            )
+            self._set_connection_limits(view)
 
     def set_domains_out(self, domains: frozenset[str]) -> None:
         """Replaces the set of failure domains that receive no requests."""
@@ -268,7 +266,11 @@
         servers that no route names yet, they would exceed the servers' limits.
         While hosts still start, each of them would count as one that asks.
         """
-        if self.planner is None or service in self._single_services:
+        if self.planner is None:
+            return True
+        if self._find_connection_share(service) < 1.0:
+            return False
+        if service in self._single_services:
             return True
         if service not in self._shards:
             return False
@@ -299,11 +301,9 @@
 
     def _add(self, server: _resources.Server) -> None:
         view = _servers.create_server_view(
-            self._clock,
-            server,
-            self._compute_max_connections(server),
-            self._memory,
+            self._clock, server, _MIN_CONNECTIONS, self._memory
         )
+        self._set_connection_limits(view)
         self._views[server.instance_id] = view
         self._by_service.setdefault(server.service, []).append(view)
         base.log_event(
@@ -325,14 +325,17 @@
             _logger, "server-removed", server=instance_id, reason=reason
         )
 
-    def _compute_max_connections(self, server: _resources.Server) -> int:
-        service = (
-            self.table.services.get(server.service) if self.table else None
-        )
-        if service is None:
-            return _MIN_CONNECTIONS
-        share = service.max_connections / self.count_sharers(server.service)
-        return max(_MIN_CONNECTIONS, int(share))
+    def _set_connection_limits(self, view: _servers.ServerView) -> None:
+        share = self._find_connection_share(view.server.service)
+        view.pool.max_connections = max(_MIN_CONNECTIONS, int(share))
+        view.pool.keeps_idle = share >= 1.0
+
+    def _find_connection_share(self, service: str) -> float:
+        """Returns this host's share of the connections to one server."""
+        found = self.table.services.get(service) if self.table else None
+        if found is None:
+            return float(_MIN_CONNECTIONS)
+        return found.max_connections / self.count_sharers(service)
 
 
 def create_catalog(
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -17,6 +17,8 @@
 _RESPONSE_MARGIN_TARGET_SHARE = 0.08
 # The part of the target for queueing, merging and sending to the caller.
 _MIN_RESPONSE_MARGIN_MS = 20.0
+# The time to read the last reports of other hosts, all at once.
+_GROUP_MARGIN_MS = 6.0
 
 
 class FanOut:
@@ -38,19 +40,17 @@
         self._context = context
         self._route = route
         self._deadline_ms = deadline_ms
-        response_margin_ms = max(
-            _MIN_RESPONSE_MARGIN_MS,
-            route.target_ms * _RESPONSE_MARGIN_TARGET_SHARE,
-        )
+        planner = context.catalog.planner
+        groups = planner.find_groups(route.shards) if planner else ()
         self._target_ms = (
-            request.received_ms + route.target_ms - response_margin_ms
+            request.received_ms
+            + route.target_ms
+            - _compute_margin_ms(route, bool(groups))
         )
         self._changed = asyncio.Event()
         self._parts: list[_groupcalls.Parts] = []
         self._answered: set[str] = set()
         self._failed_count = 0
-        planner = context.catalog.planner
-        groups = planner.find_groups(route.shards) if planner else ()
         self._group_calls = [
             _groupcalls.GroupCall(
                 context,
@@ -124,8 +124,8 @@
         self._changed.set()
 
     def _may_have_run(self) -> bool:
-        was_accepted = any(call.was_accepted for call in self._group_calls)
-        return was_accepted or self.attempts > 0
+        was_sent = any(call.was_sent for call in self._group_calls)
+        return was_sent or self.attempts > 0
 
     async def _wait(self) -> None:
         while not self._is_finished():
@@ -203,3 +203,12 @@
             call.abandon()
         for group_call in self._group_calls:
             group_call.abandon()
+
+
+def _compute_margin_ms(route: _resources.Route, is_grouped: bool) -> float:
+    """Returns how long before the target the last parts must be in."""
+    margin_ms = max(
+        _MIN_RESPONSE_MARGIN_MS,
+        route.target_ms * _RESPONSE_MARGIN_TARGET_SHARE,
+    )
+    return margin_ms + (_GROUP_MARGIN_MS if is_grouped else 0.0)
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -49,7 +49,7 @@
     """Asks the hosts of a group one after the other, then asks directly.
 
     Attributes:
-      was_accepted: Whether another host may have sent the request to servers.
+      was_sent: Whether another host may have sent the request to servers.
     """
 
     def __init__(
@@ -70,9 +70,11 @@
         self._deadline_ms = deadline_ms
         self._listener = listener
         self._remaining = dict.fromkeys(group.shards)
+        # The server that another host asked first, by shard.
+        self._asked: dict[str, str] = {}
         self._direct_calls: list[_servicecalls.ServiceCall] = []
         self._task: asyncio.Task[None] | None = None
-        self.was_accepted = False
+        self.was_sent = False
 
     @property
     def attempts(self) -> int:
@@ -100,13 +102,24 @@
                 break
             try:
                 await self._ask(host)
+            except _errors.UnsentError as error:
+                health.record_failure(host.name)
+                self._log_failure(host, error)
+                continue
             except _errors.HostUnavailableError as error:
+                self.was_sent = True
                 health.record_failure(host.name)
                 self._log_failure(host, error)
                 continue
             health.record_success(host.name)
             break
-        self._ask_directly(tuple(self._remaining), self.was_accepted)
+        self._ask_directly(tuple(self._remaining), self.was_sent)
+
+    def _list_asked(self) -> tuple[str, ...]:
+        """Returns the first server of each open shard, for a repeat."""
+        if not self.was_sent:
+            return ()
+        return tuple(self._asked.get(shard, "") for shard in self._remaining)
 
     async def _ask(self, host: _resources.HostRecord) -> None:
         route = attrs.evolve(self._route, shards=tuple(self._remaining))
@@ -117,7 +130,7 @@
             self._context.clock.now_ms(),
             self._target_at_ms,
             self._deadline_ms,
-            self.was_accepted,
+            self._list_asked(),
         )
         reports = self._context.groups.ask(
             host.state_address, message, _SILENCE_MS
@@ -125,7 +138,11 @@
         # Reads on to the end, so that the connection can be used again.
         async with contextlib.aclosing(reports):
             async for report in reports:
-                self.was_accepted = True
+                self.was_sent = True
+                if report.asked:
+                    self._asked.update(
+                        zip(message.route.shards, report.asked, strict=False)
+                    )
                 self._take_report(host, report)
 
     def _take_report(
@@ -173,7 +190,7 @@
                 shard,
                 self._deadline_ms,
                 self._record_settled,
-                is_repeat=is_repeat,
+                repeat=self._create_repeat(shard) if is_repeat else None,
             )
             for shard in shards
         ]
@@ -182,6 +199,9 @@
             self._remaining.pop(call.service, None)
             call.start()
 
+    def _create_repeat(self, shard: str) -> _servicecalls.Repeat:
+        return _servicecalls.Repeat(server=self._asked.get(shard, ""))
+
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
         if call.answer is None or not call.answer.is_success:
             self._listener.add_failed((call.service,))
@@ -204,6 +224,6 @@
             request=self._request.request_id,
             host=host.name,
             lacking=len(self._remaining),
-            accepted=self.was_accepted,
+            sent=self.was_sent,
             error=error,
         )
--- a/packages/gateway/cowslipvalve_gateway/_groupclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupclients.py
@@ -35,15 +35,28 @@
           silence_ms: The longest time to wait for the next report.
 
         Raises:
+          UnsentError: The host could not be reached; it has not the request.
           HostUnavailableError: The host refused the request, its response
             broke off or is invalid, or it was silent for too long.
         """
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=base.to_seconds(silence_ms)
+        )
         try:
-            async with asyncio.timeout(base.to_seconds(silence_ms)):
+            # The time to connect and the time to the first report.
+            async with asyncio.timeout(base.to_seconds(2 * silence_ms)):
                 response = await self._session.post(
                     f"http://{address}{_groupmessages.GROUP_PATH}",
                     data=base.encode(message),
+                    timeout=timeout,
                 )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise _errors.UnsentError(
+                f"cannot connect: {error!r}", step="ask-group", peer=address
+            ) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise _create_error(address, repr(error)) from error
         is_complete = False
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -38,6 +38,12 @@
             for service in message.route.shards
             if not context.selector.find_usable(message.route, service)
         ]
+        repeats = {
+            service: _servicecalls.Repeat(server=server)
+            for service, server in zip(
+                message.route.shards, message.asked, strict=False
+            )
+        }
         self._calls = [
             _servicecalls.ServiceCall(
                 context,
@@ -46,7 +52,7 @@
                 service,
                 request.deadline_ms,
                 self._record_settled,
-                is_repeat=message.is_repeat,
+                repeat=repeats.get(service),
             )
             for service in message.route.shards
             if service not in self._unknown
@@ -59,10 +65,14 @@
         has_news = self._answered or self._failed or self._unknown
         return not self._unsettled and not has_news
 
-    def start(self) -> None:
-        """Starts all calls."""
+    def start(self) -> _groupmessages.GroupReport:
+        """Starts all calls; returns the first report."""
         for call in self._calls:
             call.start()
+        servers = {call.service: call.first_server for call in self._calls}
+        return _groupmessages.GroupReport(
+            asked=tuple(servers.get(s, "") for s in self._route.shards)
+        )
 
     def abandon(self) -> None:
         """Cancels the calls that have no answer."""
--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -3,14 +3,18 @@
 import asyncio
 import logging
 
+import attrs
 from aiohttp import web
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
+from cowslipvalve_gateway import _looplags
 from cowslipvalve_gateway import _servicecalls
 
 _HTTP_BAD_REQUEST = 400
+# The event loop may have caught up since its lag was measured.
+_MAX_LAG_SHARE = 0.5
 _LINE_END = b"\n"
 
 _logger = logging.getLogger(__name__)
@@ -19,16 +23,19 @@
 class GroupHandler:
     """Asks the shards of a group for another host.
 
-    The response starts at once, with an empty report, and continues with a
-    report of each few parts. If the other host closes the connection, the
-    handler's task is cancelled, which ends the servers' work.
+    The response starts at once, with a report of the servers that are asked,
+    and continues with a report of each few parts. If the other host closes the
+    connection, the handler's task is cancelled, which ends the servers' work.
 
     Attributes:
       running_requests: The number of requests in progress.
     """
 
-    def __init__(self, context: _servicecalls.CallContext) -> None:
+    def __init__(
+        self, context: _servicecalls.CallContext, lag: _looplags.LoopLag
+    ) -> None:
         self._context = context
+        self._lag = lag
         self.running_requests = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -37,7 +44,9 @@
             message = base.decode(
                 _groupmessages.GroupRequest, await request.read()
             )
-            gather = _groupgathers.create_group_gather(self._context, message)
+            gather = _groupgathers.create_group_gather(
+                self._context, self._subtract_lag(message)
+            )
         except base.InputError as error:
             base.log_event(
                 _logger, "group-refused", logging.WARNING, error=error
@@ -49,6 +58,20 @@
         finally:
             self.running_requests -= 1
 
+    def _subtract_lag(
+        self, message: _groupmessages.GroupRequest
+    ) -> _groupmessages.GroupRequest:
+        """Returns the message without the time that it waited unread.
+
+        Servers must not be given time that has already passed.
+        """
+        lag_ms = min(self._lag.recent_ms, message.remaining_ms * _MAX_LAG_SHARE)
+        return attrs.evolve(
+            message,
+            remaining_ms=message.remaining_ms - lag_ms,
+            target_remaining_ms=message.target_remaining_ms - lag_ms,
+        )
+
     async def _respond(
         self,
         request: web.BaseRequest,
@@ -57,13 +80,12 @@
     ) -> web.StreamResponse:
         response = web.StreamResponse()
         await response.prepare(request)
-        await _write(response, _groupmessages.GroupReport())
         # A host that was frozen reads the close of the connection after the
         # request; it must not start work then.
         await asyncio.sleep(0)
-        gather.start()
         answered = 0
         try:
+            await _write(response, gather.start())
             while not gather.is_finished:
                 report = await gather.next_report()
                 answered += len(report.answered)
@@ -94,6 +116,8 @@
     await response.write(base.encode(report) + _LINE_END)
 
 
-def create_group_handler(context: _servicecalls.CallContext) -> GroupHandler:
+def create_group_handler(
+    context: _servicecalls.CallContext, lag: _looplags.LoopLag
+) -> GroupHandler:
     """Creates the handler of group requests."""
-    return GroupHandler(context)
+    return GroupHandler(context, lag)
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -34,8 +34,14 @@
     remaining_ms: float
     # The time in ms until the parts should have arrived; may be negative.
     target_remaining_ms: float
-    # Whether servers may have got this request before, from another host.
-    is_repeat: bool
+    # Empty unless another host may have sent the request to servers; else the
+    # server that it asked first for each shard, empty if that is unknown.
+    asked: tuple[str, ...] = ()
+
+    @property
+    def is_repeat(self) -> bool:
+        """Whether servers may have got the request from another host."""
+        return bool(self.asked)
 
     def to_caller_request(self, now_ms: float) -> _calls.CallerRequest:
         """Returns the request as the servers are to get it.
@@ -65,6 +71,9 @@
 class GroupReport:
     """What happened since the last report; an empty one shows progress only."""
 
+    # In the first report, the server that was asked first for each shard of the
+    # request, empty if there is none yet.
+    asked: tuple[str, ...] = ()
     # The shards whose parts are in the records.
     answered: tuple[str, ...] = ()
     # The proofs of these parts, in the same order.
@@ -103,7 +112,7 @@
     now_ms: float,
     target_at_ms: float,
     deadline_ms: float,
-    is_repeat: bool,
+    asked: tuple[str, ...],
 ) -> GroupRequest:
     """Creates the message for a group; the route's shards are the group's."""
     return GroupRequest(
@@ -117,5 +126,5 @@
         route=route,
         remaining_ms=deadline_ms - now_ms,
         target_remaining_ms=target_at_ms - now_ms,
-        is_repeat=is_repeat,
+        asked=asked,
     )
--- a/packages/gateway/cowslipvalve_gateway/_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -18,11 +18,8 @@
 # The processor time of a group; a shorter one costs the entry host more in
 # messages than the query gains.
 _GROUP_TIME_MS = 15.0
-_MIN_GROUP_SHARDS = 8
-# Hosts with less than this part of the greatest capacity ask no groups if
-# enough others do.
-_LEAST_CAPACITY_SHARE = 0.5
-_MIN_STRONG_HOSTS = 2
+_MIN_ASKERS = 2  # One can substitute for the other.
+_RANKING_KEY = "group-asker"
 # Shares of the limits on a service. Preferred hosts ask nearly all requests;
 # substitutes replace them; any host asks directly if both fail.
 _PREFERRED_SHARE = 0.5
@@ -126,43 +123,61 @@
 def _create_groups(
     shards: tuple[str, ...], hosts: list[_resources.HostRecord]
 ) -> tuple[ShardGroup, ...]:
-    """Returns the groups of a domain, none if its hosts ask directly."""
+    """Returns the groups of a domain, none if its hosts ask directly.
+
+    Each shard goes to one of the chosen hosts by rendezvous hashing weighted
+    by capacity, so that a host that comes or goes moves few shards.
+    """
     if len(shards) <= _MAX_DIRECT_SHARDS or len(hosts) <= 1:
         return ()
-    candidates = {host.name: host for host in _select_strong(hosts)}
-    least = min(host.capacity for host in candidates.values())
-    size = max(_MIN_GROUP_SHARDS, int(_GROUP_TIME_MS * least / _PART_TIME_MS))
-    # Independent of the number of hosts, as another number moves all shards.
-    count = math.ceil(len(shards) / size)
-    max_groups = math.ceil(count / len(candidates))
-    taken: dict[str, int] = dict.fromkeys(candidates, 0)
-    groups = []
-    for index in range(count):
-        members = shards[index::count]
-        ranked = base.rank_names(candidates, members[0])
-        preferred = next(n for n in ranked if taken[n] < max_groups)
-        taken[preferred] += 1
-        others = [name for name in ranked if name != preferred]
-        names = (preferred, *others[:1])
-        groups.append(
-            ShardGroup(
-                shards=members, hosts=tuple(candidates[n] for n in names)
-            )
+    chosen = _choose_askers(len(shards), hosts)
+    members: dict[str, list[str]] = {name: [] for name in chosen}
+    for shard in shards:
+        preferred = min(
+            chosen, key=lambda name: _compute_distance(chosen[name], shard)
+        )
+        members[preferred].append(shard)
+    return tuple(
+        ShardGroup(
+            shards=tuple(members[name]),
+            hosts=(chosen[name], _choose_substitute(chosen, name)),
         )
-    return tuple(groups)
-
-
-def _select_strong(
-    hosts: list[_resources.HostRecord],
-) -> list[_resources.HostRecord]:
-    """Returns the hosts of great capacity, or all if those are too few."""
-    greatest = max(host.capacity for host in hosts)
-    strong = [
-        host
-        for host in hosts
-        if host.capacity >= _LEAST_CAPACITY_SHARE * greatest
-    ]
-    return strong if len(strong) >= _MIN_STRONG_HOSTS else hosts
+        for name in sorted(chosen)
+        if members[name]
+    )
+
+
+def _choose_askers(
+    shard_count: int, hosts: list[_resources.HostRecord]
+) -> dict[str, _resources.HostRecord]:
+    """Returns the strongest hosts that can ask the shards in time together.
+
+    Hosts of equal capacity are ordered by rendezvous hashing.
+    """
+    needed = shard_count * _PART_TIME_MS / _GROUP_TIME_MS
+    ranks = base.rank_names((host.name for host in hosts), _RANKING_KEY)
+    order = {name: index for index, name in enumerate(ranks)}
+    chosen: dict[str, _resources.HostRecord] = {}
+    for host in sorted(hosts, key=lambda h: (-h.capacity, order[h.name])):
+        has_enough = sum(h.capacity for h in chosen.values()) >= needed
+        if has_enough and len(chosen) >= _MIN_ASKERS:
+            break
+        chosen[host.name] = host
+    return chosen
+
+
+def _compute_distance(host: _resources.HostRecord, shard: str) -> float:
+    """Returns the distance of weighted rendezvous hashing; least is best."""
+    return -math.log(base.compute_fraction(host.name, shard)) / host.capacity
+
+
+def _choose_substitute(
+    chosen: Mapping[str, _resources.HostRecord], name: str
+) -> _resources.HostRecord:
+    others = [other for other in chosen if other != name]
+    substitute = base.choose_name(others, name)
+    assert substitute is not None
+    return chosen[substitute]
 
 
 def create_group_planner(own: _resources.HostRecord) -> GroupPlanner:
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -29,6 +29,8 @@
       address: The address of the server.
       max_connections: The maximum number of connections; 0 once the server is
         removed.
+      keeps_idle: Whether unused connections stay open. They must not if a
+        host's share of the server's limit is below one connection.
       connect_ms: The shortest connect time, infinite before the first connect.
       is_prepared: Whether prepare has been called.
     """
@@ -44,6 +46,7 @@
         self.address = address
         self._memory = memory
         self.max_connections = max_connections
+        self.keeps_idle = True
         self.connect_ms = float("inf")
         self.is_prepared = False
         self._open = 0
@@ -105,7 +108,9 @@
         A connection is closed if it cannot be reused or if enough connections
         are idle.
         """
-        max_idle = math.ceil(self.max_connections * _MAX_IDLE_SHARE)
+        max_idle = 0
+        if self.keeps_idle:
+            max_idle = math.ceil(self.max_connections * _MAX_IDLE_SHARE)
         if not connection.is_reusable or len(self._idle) >= max_idle:
             self._discard(connection)
         else:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -86,6 +86,14 @@
         return self._by_service[service]
 
 
+@attrs.frozen(kw_only=True)
+class Repeat:
+    """Marks a call whose request another host may have sent to servers."""
+
+    # The server that the other host asked first, empty if it is unknown.
+    server: str
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Attempt:
     """One attempt to send the request to one server."""
@@ -120,7 +128,7 @@
         service: str,
         deadline_ms: float,
         on_settled: Callable[["ServiceCall"], None],
-        is_repeat: bool = False,
+        repeat: Repeat | None = None,
     ) -> None:
         """Creates a call that is not started.
 
@@ -131,15 +139,17 @@
           service: The service to ask.
           deadline_ms: When to give up, on the process's clock.
           on_settled: Called once the outcome is final.
-          is_repeat: Whether another host may have sent the request to the
-            service, so that the first attempt is an extra one too.
+          repeat: Set if another host may have sent the request to the service.
+            Then the first attempt is an extra one too, and only the server that
+            the other host asked is used if all together could exceed the
+            route's attempts.
         """
         self._context = context
         self._request = request
         self._route = route
         self._deadline_ms = deadline_ms
         self._on_settled = on_settled
-        self._is_repeat = is_repeat
+        self._repeat = repeat
         self._tried: list[_servers.ServerView] = []
         self._running: list[_Attempt] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -150,6 +160,11 @@
         self.attempts = 0
         self.is_settled = False
 
+    @property
+    def first_server(self) -> str:
+        """The server of the first attempt, empty before there is one."""
+        return self._tried[0].server.instance_id if self._tried else ""
+
     @property
     def is_unresponsive(self) -> bool:
         """Whether all usable servers are ejected for recent failures."""
@@ -164,7 +179,7 @@
 
     def start(self) -> None:
         """Starts the first attempt; settles the call if there is no server."""
-        if not self._is_repeat:
+        if self._repeat is None:
             self._context.budget(self.service).add_request()
         self._start_or_wait()
 
@@ -202,12 +217,14 @@
         if self.attempts + unsent >= self._route.max_attempts:
             return False
         view = self._context.selector.choose(
-            self._route, self.service, self._tried
+            self._route, self.service, self._find_excluded()
         )
         if view is None:
             return False
         # An attempt that is still connecting counts, as it will be sent too.
-        is_extra = bool(self.attempts or self._running or self._is_repeat)
+        is_extra = bool(
+            self.attempts or self._running or self._repeat is not None
+        )
         if is_extra and not self._context.budget(self.service).try_take(
             self._context.catalog.count_sharers(self.service), is_hedge
         ):
@@ -220,6 +237,17 @@
         self._schedule_hedge(self._route.target_ms * _UNSENT_HEDGE_TARGET_SHARE)
         return True
 
+    def _find_excluded(self) -> list[_servers.ServerView]:
+        """Returns the servers that the next attempt must not use."""
+        if self._repeat is None:
+            return self._tried
+        usable = self._context.selector.find_usable(self._route, self.service)
+        if len(usable) <= self._route.max_attempts:
+            return self._tried
+        asked = self._repeat.server
+        others = [v for v in usable if v.server.instance_id != asked]
+        return [*self._tried, *others]
+
     async def _run(self, attempt: _Attempt) -> None:
         view = attempt.view
         try:
