--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -70,7 +70,7 @@
 from cowslipvalve_gateway._serverclients import ServerProtocol
 from cowslipvalve_gateway._serverclients import ServerClient
 from cowslipvalve_gateway._serverclients import create_server_client
-from cowslipvalve_gateway._servicecalls import CallContext
+from cowslipvalve_gateway._callcontexts import CallContext
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
 from cowslipvalve_gateway._stores import StateKind
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -0,0 +1,64 @@
+"""The dependencies and state that all calls of a host share."""
+
+from collections.abc import Collection
+
+import attrs
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _budgets
+from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _groupclients
+from cowslipvalve_gateway import _hosthealth
+from cowslipvalve_gateway import _measurements
+from cowslipvalve_gateway import _selectors
+from cowslipvalve_gateway import _serverclients
+
+
+@attrs.define(kw_only=True)
+class CallContext:
+    """Dependencies and state that all service calls share."""
+
+    # The state that this host serves by.
+    catalog: _catalogs.Catalog
+    # Chooses servers.
+    selector: _selectors.ServerSelector
+    # Sends requests.
+    client: _serverclients.ServerClient
+    # The bounds on extra attempts.
+    bounds: _budgets.BudgetBounds
+    # Counters and latency samples.
+    measurements: _measurements.Measurements
+    # The clock of the process.
+    clock: base.Clock
+    # The name of this host.
+    own_name: str
+    # Sends group requests to other hosts.
+    groups: _groupclients.GroupClient
+    # Which other hosts have failed recently.
+    host_health: _hosthealth.HostHealth
+    # The budgets by service, created on first use.
+    _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
+        factory=dict, alias="by_service"
+    )
+
+    def set_bounds(self, bounds: _budgets.BudgetBounds) -> None:
+        """Replaces the bounds on extra attempts."""
+        self.bounds = bounds
+        for budget in self._by_service.values():
+            budget.bounds = bounds
+
+    def retain_services(self, names: Collection[str]) -> None:
+        """Discards the idle budgets of all but the named services."""
+        self._by_service = {
+            name: budget
+            for name, budget in self._by_service.items()
+            if name in names or not budget.is_idle
+        }
+
+    def budget(self, service: str) -> _budgets.AttemptBudget:
+        """Returns the budget of a service, created on first use."""
+        if service not in self._by_service:
+            self._by_service[service] = _budgets.create_attempt_budget(
+                self.clock, self.bounds
+            )
+        return self._by_service[service]
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupcalls
 from cowslipvalve_gateway import _merges
@@ -32,7 +33,7 @@
 
     def __init__(
         self,
-        context: _servicecalls.CallContext,
+        context: _callcontexts.CallContext,
         request: _calls.CallerRequest,
         route: _resources.Route,
         deadline_ms: float,
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -3,10 +3,10 @@
 import logging
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _fanouts
 from cowslipvalve_gateway import _resources
-from cowslipvalve_gateway import _servicecalls
 from cowslipvalve_gateway import _singlecalls
 from cowslipvalve_gateway import _splits
 
@@ -20,7 +20,7 @@
 class Gateway:
     """Routes caller requests and returns their outcomes."""
 
-    def __init__(self, context: _servicecalls.CallContext) -> None:
+    def __init__(self, context: _callcontexts.CallContext) -> None:
         self._context = context
         self._splitter = _splits.create_splitter()
         self._known_version = 0
@@ -153,6 +153,6 @@
     }
 
 
-def create_gateway(context: _servicecalls.CallContext) -> Gateway:
+def create_gateway(context: _callcontexts.CallContext) -> Gateway:
     """Creates the gateway of a host."""
     return Gateway(context)
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -9,6 +9,7 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _groupgathers
@@ -54,7 +55,7 @@
 
     def __init__(
         self,
-        context: _servicecalls.CallContext,
+        context: _callcontexts.CallContext,
         request: _calls.CallerRequest,
         route: _resources.Route,
         group: _groupplans.ShardGroup,
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -4,6 +4,7 @@
 import base64
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _merges
@@ -22,7 +23,7 @@
 
     def __init__(
         self,
-        context: _servicecalls.CallContext,
+        context: _callcontexts.CallContext,
         message: _groupmessages.GroupRequest,
         request: _calls.CallerRequest,
     ) -> None:
@@ -152,7 +153,7 @@
 
 
 def create_group_gather(
-    context: _servicecalls.CallContext, message: _groupmessages.GroupRequest
+    context: _callcontexts.CallContext, message: _groupmessages.GroupRequest
 ) -> GroupGather:
     """Creates a gather that is not started.
 
--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -7,10 +7,10 @@
 from aiohttp import web
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _looplags
-from cowslipvalve_gateway import _servicecalls
 
 _HTTP_BAD_REQUEST = 400
 # The event loop may have caught up since its lag was measured.
@@ -32,7 +32,7 @@
     """
 
     def __init__(
-        self, context: _servicecalls.CallContext, lag: _looplags.LoopLag
+        self, context: _callcontexts.CallContext, lag: _looplags.LoopLag
     ) -> None:
         self._context = context
         self._lag = lag
@@ -117,7 +117,7 @@
 
 
 def create_group_handler(
-    context: _servicecalls.CallContext, lag: _looplags.LoopLag
+    context: _callcontexts.CallContext, lag: _looplags.LoopLag
 ) -> GroupHandler:
     """Creates the handler of group requests."""
     return GroupHandler(context, lag)
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -2,21 +2,15 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 import attrs
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _budgets
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
-from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _groupclients
-from cowslipvalve_gateway import _hosthealth
-from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _resources
-from cowslipvalve_gateway import _selectors
-from cowslipvalve_gateway import _serverclients
 from cowslipvalve_gateway import _servers
 
 _MIN_HEDGE_PERCENTILE = 85
@@ -36,56 +30,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
-class CallContext:
-    """Dependencies and state that all service calls share."""
-
-    # The state that this host serves by.
-    catalog: _catalogs.Catalog
-    # Chooses servers.
-    selector: _selectors.ServerSelector
-    # Sends requests.
-    client: _serverclients.ServerClient
-    # The bounds on extra attempts.
-    bounds: _budgets.BudgetBounds
-    # Counters and latency samples.
-    measurements: _measurements.Measurements
-    # The clock of the process.
-    clock: base.Clock
-    # The name of this host.
-    own_name: str
-    # Sends group requests to other hosts.
-    groups: _groupclients.GroupClient
-    # Which other hosts have failed recently.
-    host_health: _hosthealth.HostHealth
-    # The budgets by service, created on first use.
-    _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
-        factory=dict, alias="by_service"
-    )
-
-    def set_bounds(self, bounds: _budgets.BudgetBounds) -> None:
-        """Replaces the bounds on extra attempts."""
-        self.bounds = bounds
-        for budget in self._by_service.values():
-            budget.bounds = bounds
-
-    def retain_services(self, names: Collection[str]) -> None:
-        """Discards the idle budgets of all but the named services."""
-        self._by_service = {
-            name: budget
-            for name, budget in self._by_service.items()
-            if name in names or not budget.is_idle
-        }
-
-    def budget(self, service: str) -> _budgets.AttemptBudget:
-        """Returns the budget of a service, created on first use."""
-        if service not in self._by_service:
-            self._by_service[service] = _budgets.create_attempt_budget(
-                self.clock, self.bounds
-            )
-        return self._by_service[service]
-
-
 @attrs.frozen(kw_only=True)
 class Repeat:
     """Marks a call whose request another host may have sent to servers."""
@@ -122,7 +66,7 @@
 
     def __init__(
         self,
-        context: CallContext,
+        context: _callcontexts.CallContext,
         request: _calls.CallerRequest,
         route: _resources.Route,
         service: str,
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
@@ -11,7 +12,7 @@
 
 
 async def call_single(
-    context: _servicecalls.CallContext,
+    context: _callcontexts.CallContext,
     request: _calls.CallerRequest,
     route: _resources.Route,
     service: str,
