--- a/packages/cli/cowslipvalve_cli/_main.py
+++ b/packages/cli/cowslipvalve_cli/_main.py
@@ -1,38 +1,20 @@
 """The cowslipvalve command."""
 
-import asyncio
 import getpass
 import pathlib
 import sys
-from collections.abc import (
-    AsyncIterator,
-    Awaitable,
-    Callable,
-)
-from contextlib import asynccontextmanager
 from typing import Annotated, Any
 
-import aiohttp
 import cyclopts
 
 import cowslipvalve_model as model
 import cowslipvalve_store as store
 from cowslipvalve_cli import _explanations
+from cowslipvalve_cli import _execution
 from cowslipvalve_cli import _files
 from cowslipvalve_cli import _operations
 from cowslipvalve_cli import _output
 
-EXIT_FAILED = 1
-EXIT_BAD_INPUT = 2
-EXIT_CONFLICT = 3
-EXIT_NOT_FOUND = 4
-EXIT_PLATFORM_UNAVAILABLE = 5
-_EXIT_STATUSES: tuple[tuple[type[model.CowslipvalveError], int], ...] = (
-    (model.InputError, EXIT_BAD_INPUT),
-    (model.ConflictError, EXIT_CONFLICT),
-    (model.NotFoundError, EXIT_NOT_FOUND),
-    (model.PlatformUnavailableError, EXIT_PLATFORM_UNAVAILABLE),
-)
 _KINDS_BY_ALIAS = {
     alias: kind
     for kind in model.KINDS
@@ -108,7 +90,7 @@
         ]
         _output.print_rows(written, output)
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -120,7 +102,7 @@
     Args:
       file: The path of the file, one resource or a list of them.
     """
-    with _ExitOnError():
+    with _execution.ExitOnError():
         resources = _files.read_resources(file)
         print(f"{len(resources)} resources are valid")
 
@@ -146,7 +128,7 @@
         )
         _output.print_resources(items, output)
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -163,7 +145,7 @@
     async def run(client: store.PlatformClient) -> None:
         _output.print_description(await client.get(_resolve_kind(kind), name))
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -187,7 +169,7 @@
         await client.delete(_resolve_kind(kind), name, resource_version)
         print(f"{_resolve_kind(kind)} {name} is deleted")
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -203,7 +185,7 @@
         async for event in events:
             print(model.encode(event).decode(), flush=True)
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -227,7 +209,7 @@
             await _operations.list_audit(client, name), output
         )
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @app.command
@@ -245,7 +227,7 @@
             items = await _operations.list_resources(client, kind, "")
             _output.print_resources(items, output)
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 @domain_app.command(name="out")
@@ -328,7 +310,7 @@
         lines = tuple(_explanations.read_logs(logs))
     except OSError as error:
         print(f"cowslipvalve: {error}; name a readable file", file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
+        sys.exit(_execution.EXIT_BAD_INPUT)
     found = _explanations.find_decisions(request_id, lines)
     for decision in found:
         print(decision.format())
@@ -337,7 +319,7 @@
             f"cowslipvalve: no log line about request {request_id}",
             file=sys.stderr,
         )
-        sys.exit(EXIT_NOT_FOUND)
+        sys.exit(_execution.EXIT_NOT_FOUND)
 
 
 def _set_placement(
@@ -356,7 +338,7 @@
         )
         print(f"{kind} {name}: placement {placement}, {written.action}")
 
-    _run_command(platform_url, run)
+    _execution.run_command(platform_url, run)
 
 
 def _resolve_kind(text: str) -> str:
@@ -373,44 +355,6 @@
     return operator or getpass.getuser()
 
 
-class _ExitOnError:
-    """Prints an error and exits with the status for its type."""
-
-    def __enter__(self) -> None:
-        return
-
-    def __exit__(
-        self, _kind: object, error: BaseException | None, _traceback: object
-    ) -> None:
-        if not isinstance(error, model.CowslipvalveError):
-            return
-        print(f"cowslipvalve: {error}", file=sys.stderr)
-        for error_type, exit_status in _EXIT_STATUSES:
-            if isinstance(error, error_type):
-                sys.exit(exit_status)
-        sys.exit(EXIT_FAILED)
-
-
-def _run_command(
-    url: str, run: Callable[[store.PlatformClient], Awaitable[None]]
-) -> None:
-    with _ExitOnError():
-        asyncio.run(_run_with_client(url, run))
-
-
-async def _run_with_client(
-    url: str, run: Callable[[store.PlatformClient], Awaitable[None]]
-) -> None:
-    async with _open_client(url) as client:
-        await run(client)
-
-
-@asynccontextmanager
-async def _open_client(url: str) -> AsyncIterator[store.PlatformClient]:
-    async with aiohttp.ClientSession() as session:
-        yield store.create_platform_client(session, url)
-
-
 def main() -> None:
     """Runs the command line."""
     app()
--- a/packages/cli/cowslipvalve_cli/tests/test_commands.py
+++ b/packages/cli/cowslipvalve_cli/tests/test_commands.py
@@ -7,7 +7,7 @@
 import tempfile
 from typing import Any
 
-from cowslipvalve_cli import _main
+from cowslipvalve_cli import _execution
 from cowslipvalve_standins import _platformtests
 
 
@@ -59,7 +59,7 @@
         status, _, _ = await self.run_on_platform(
             "describe", "domain", "kuopio"
         )
-        self.assertEqual(status, _main.EXIT_NOT_FOUND)
+        self.assertEqual(status, _execution.EXIT_NOT_FOUND)
 
     async def test_placement_keeps_other_fields_and_names_the_operator(
         self,
@@ -91,7 +91,7 @@
             _create_domain("kuopio", resourceVersion=version)
         )
         status, _, errors = await self.run_on_platform("apply", "-f", path)
-        self.assertEqual(status, _main.EXIT_CONFLICT)
+        self.assertEqual(status, _execution.EXIT_CONFLICT)
         self.assertIn("aino", errors)
         item = await self.client.get("FailureDomain", "kuopio")
         self.assertEqual(item.spec["placement"], "out")
@@ -114,12 +114,12 @@
                     if command == "apply":
                         arguments += ["--platform", self.url]
                     status, _, errors = await self.run_client(*arguments)
-                    self.assertEqual(status, _main.EXIT_BAD_INPUT)
+                    self.assertEqual(status, _execution.EXIT_BAD_INPUT)
                     self.assertIn(words, errors)
         self.assertEqual((await self.client.list("FailureDomain")).items, ())
 
     async def test_unavailable_platform_has_its_own_exit_status(self) -> None:
         self.set_faults(away=True)
         status, _, errors = await self.run_on_platform("status")
-        self.assertEqual(status, _main.EXIT_PLATFORM_UNAVAILABLE)
+        self.assertEqual(status, _execution.EXIT_PLATFORM_UNAVAILABLE)
         self.assertIn("did not answer", errors)
