Refuse group messages whose text is not ASCII

Cause, found while fuzzing the new decoders: b64decode raises a plain ValueError for text that is not ASCII, which the handler and the entry host did not expect; the shards of that group would have stayed open until the deadline. Test: fails before (the error is not InputError), passes after.

--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -1,7 +1,6 @@
 """Messages between the host that got a request and one that asks a group."""
 
 import base64
-import binascii
 
 import attrs
 
@@ -51,7 +50,7 @@
         """
         try:
             body = base64.b64decode(self.body, validate=True)
-        except binascii.Error as error:
+        except ValueError as error:  # Not ASCII, or not base64.
             raise base.InputError(
                 f"the body is not base64: {error}", step="read-group-request"
             ) from error
@@ -98,7 +97,7 @@
             )
         try:
             return base64.b64decode(self.records, validate=True)
-        except binascii.Error as error:
+        except ValueError as error:  # Not ASCII, or not base64.
             raise base.InputError(
                 f"the records are not base64: {error}",
                 step="read-group-report",
