Keep shares within the limits where fan-outs overlap

Cause, found in the last read of the planner: a service that two sets of shards name got its shares once a set, together more than the limit; whether a host asks a service was read from a comparison of rounded shares; plans were made for all domains at each change of the hosts; a strong host's substitute could be a weak one. Change: each set gets its part; the services that a host asks are a set of their own; only the own domain is planned; substitutes are chosen by capacity.

--- a/packages/gateway/cowslipvalve_gateway/_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -3,6 +3,7 @@
 Answers the load of a fan-out over more shards than one host can ask in time.
 """
 
+import collections
 import math
 from collections.abc import Iterable, Mapping
 
@@ -49,7 +50,10 @@
         self._own = own
         self._hosts: dict[str, _resources.HostRecord] = {own.name: own}
         self._groups: dict[tuple[str, ...], tuple[ShardGroup, ...]] = {}
+        # This host's share of the limits, by service of a grouped fan-out.
         self._shares: dict[str, float] = {}
+        # The grouped services that this host asks or substitutes for.
+        self._asked: set[str] = set()
 
     def update(
         self,
@@ -65,20 +69,23 @@
         self._hosts = {**hosts, self._own.name: self._own}
         self._groups = {}
         self._shares = {}
+        self._asked = set()
         domains = _group_by_domain(self._hosts.values())
-        for shards in set(shard_sets):
+        unique_sets = set(shard_sets)
+        set_counts = collections.Counter(s for u in unique_sets for s in u)
+        for shards in unique_sets:
             self._groups[shards] = _create_groups(
                 shards, domains[self._own.domain]
             )
-            self._add_shares(shards, domains)
+            self._add_shares(shards, domains, set_counts)
 
     def find_groups(self, shards: tuple[str, ...]) -> tuple[ShardGroup, ...]:
         """Returns the groups of some shards, none if asked directly."""
         return self._groups.get(shards, ())
 
     def is_asker(self, service: str) -> bool:
-        """Whether this host usually asks a service."""
-        return self.find_share(service) * len(self._hosts) > _OTHERS_SHARE
+        """Whether this host usually asks a service, or may soon have to."""
+        return service not in self._shares or service in self._asked
 
     def find_share(self, service: str) -> float:
         """Returns this host's share, at most 1, of the limits on a service."""
@@ -88,13 +95,21 @@
         self,
         shards: tuple[str, ...],
         domains: Mapping[str, list[_resources.HostRecord]],
+        set_counts: Mapping[str, int],
     ) -> None:
-        grouped = [d for d, h in domains.items() if _create_groups(shards, h)]
+        """Adds this host's shares for one set of shards.
+
+        A service that several sets name is asked by the hosts of each of them,
+        so each set gets a part of the limits.
+        """
+        grouped = [d for d, h in domains.items() if _is_grouped(shards, h)]
         if not grouped:
             return
         direct_hosts = sum(
             len(hosts) for d, hosts in domains.items() if d not in grouped
         )
+        if self._own.domain not in grouped:
+            self._asked.update(shards)
         # A host that asks directly has the load of a part of a domain.
         sharers = len(grouped) + direct_hosts
         for service in shards:
@@ -107,8 +122,10 @@
                 if host.name != self._own.name:
                     continue
                 part = _SUBSTITUTE_SHARE if index else _PREFERRED_SHARE
+                self._asked.update(group.shards)
                 for service in group.shards:
-                    self._shares[service] += part / sharers
+                    divisor = sharers * set_counts[service]
+                    self._shares[service] += part / divisor
 
 
 def _group_by_domain(
@@ -120,6 +137,12 @@
     return domains
 
 
+def _is_grouped(
+    shards: tuple[str, ...], hosts: list[_resources.HostRecord]
+) -> bool:
+    return len(shards) > _MAX_DIRECT_SHARDS and len(hosts) > 1
+
+
 def _create_groups(
     shards: tuple[str, ...], hosts: list[_resources.HostRecord]
 ) -> tuple[ShardGroup, ...]:
@@ -128,7 +151,7 @@
     Each shard goes to one of the chosen hosts by rendezvous hashing weighted
     by capacity, so that a host that comes or goes moves few shards.
     """
-    if len(shards) <= _MAX_DIRECT_SHARDS or len(hosts) <= 1:
+    if not _is_grouped(shards, hosts):
         return ()
     chosen = _choose_askers(len(shards), hosts)
     members: dict[str, list[str]] = {name: [] for name in chosen}
@@ -174,10 +197,8 @@
 def _choose_substitute(
     chosen: Mapping[str, _resources.HostRecord], name: str
 ) -> _resources.HostRecord:
-    others = [other for other in chosen if other != name]
-    substitute = base.choose_name(others, name)
-    assert substitute is not None
-    return chosen[substitute]
+    others = [host for other, host in chosen.items() if other != name]
+    return min(others, key=lambda host: _compute_distance(host, name))
 
 
 def create_group_planner(own: _resources.HostRecord) -> GroupPlanner:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_groupplans.py
@@ -97,6 +97,16 @@
             # Those who ask most have most of it.
             self.assertGreater(sum(sorted(shares)[-12:]), 0.7)
 
+    def test_shares_of_overlapping_fan_outs_stay_within_the_limit(self) -> None:
+        hosts = _create_hosts(10, 2)
+        totals: dict[str, float] = dict.fromkeys(_SHARDS, 0.0)
+        for own in hosts.values():
+            planner = gateway.create_group_planner(own)
+            planner.update([_SHARDS, _SHARDS[10:], _SHARDS[:60]], hosts)
+            for shard in _SHARDS:
+                totals[shard] += planner.find_share(shard)
+        self.assertLessEqual(max(totals.values()), 1.0 + 1e-9)
+
     def test_host_that_leaves_moves_few_shards(self) -> None:
         hosts = _create_hosts(10)
         before = _find_preferred(_plan(hosts, "a-0"))
