Take one pause of a server for one slow answer

The server's rate fell from 160 to 10 queries/s, and where the other replica was out, its shard was missing until it had warmed up again. Shown by ServerOutTest beside load: incomplete answers with reason warming, and warm-up ... reason=latency in the host's log. Ruled out: the server itself; the stand-in counts no collapse.

--- a/packages/policy/cowslipvalve_policy/_warmups.py
+++ b/packages/policy/cowslipvalve_policy/_warmups.py
@@ -14,7 +14,8 @@
 
     The rate doubles at intervals while answers are good. It is reset to the
     server's initial rate after a reconnect, a shed request, a new boot id, or
-    several slow answers in a row.
+    several slow answers in a row, each of a query that started after the one
+    before: a single pause makes all queries slow that run at the time.
     """
 
     def __init__(self, clock: model.Clock, warm_up: model.WarmUp) -> None:
@@ -27,6 +28,7 @@
         self._next_start_ms = clock.now_ms()
         self._average_ms = 0.0
         self._slow_answers = 0
+        self._last_slow_ms = float("-inf")
 
     @property
     def is_warm(self) -> bool:
@@ -70,6 +72,10 @@
             self._increase_rate()
             return False
         if self._is_slow(latency_ms):
+            now_ms = self._clock.now_ms()
+            if now_ms - latency_ms < self._last_slow_ms:
+                return False
+            self._last_slow_ms = now_ms
             self._slow_answers += 1
             if self._slow_answers >= _SLOW_ANSWERS_TO_RESET:
                 self.reset()
--- a/standins/cowslipvalve_standins/_sessions.py
+++ b/standins/cowslipvalve_standins/_sessions.py
@@ -131,3 +131,15 @@
     """Sets faults of all servers."""
     for _, shape in deployment.shape.servers:
         await deployment.put_server(shape.name, "/faults", faults)
+
+
+def read_events(
+    deployment: _deployments.Deployment, event: str, text: str
+) -> list[str]:
+    """Returns the log lines of all hosts about an event that hold a text."""
+    return [
+        f"{host}: {line}"
+        for host in deployment.hosts
+        for line in deployment.log_path(host).read_text().splitlines()
+        if f"msg={event} " in f"{line} " and text in line
+    ]
