Let one piece report settled calls, decode base64 and fail over

Two comments were not true: a suspect host is not asked at all, and a group always has a substitute. Ruled out for now: one class for the answers' limits and their settings, which would accept further keys; has_paced with the servers that a repeat may use, which changes when a call ends and needs a test of its own. Behaviour and assertions are as before; one error message no longer says which text it is, its step does.

--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -181,16 +181,7 @@
         )
 
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
-        if call.answer is None or not call.answer.is_success:
-            self.add_failed((call.service,))
-            return
-        self.add_parts(
-            _groupcalls.Parts(
-                shards=(call.service,),
-                proofs=(call.answer.proof,),
-                records=call.answer.body,
-            )
-        )
+        _groupcalls.report_settled(call, self)
 
     def _abandon_unsettled(self) -> None:
         for call in self._calls:
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -46,6 +46,22 @@
         """Takes the names of shards that will have no part."""
 
 
+def report_settled(
+    call: _servicecalls.ServiceCall, listener: PartsListener
+) -> None:
+    """Passes the part of a settled call, or its failure, to a listener."""
+    if call.answer is None or not call.answer.is_success:
+        listener.add_failed((call.service,))
+        return
+    listener.add_parts(
+        Parts(
+            shards=(call.service,),
+            proofs=(call.answer.proof,),
+            records=call.answer.body,
+        )
+    )
+
+
 class GroupCall:
     """Asks the hosts of a group one after the other, then asks directly.
 
@@ -103,12 +119,12 @@
                 break
             try:
                 await self._ask(host)
-            except _errors.UnsentError as error:
-                health.record_failure(host.name)
-                self._log_failure(host, error)
-                continue
-            except _errors.HostUnavailableError as error:
-                self.was_sent = True
+            except (
+                _errors.UnsentError,
+                _errors.HostUnavailableError,
+            ) as error:
+                if not isinstance(error, _errors.UnsentError):
+                    self.was_sent = True
                 health.record_failure(host.name)
                 self._log_failure(host, error)
                 continue
@@ -204,16 +220,7 @@
         return _servicecalls.Repeat(server=self._asked.get(shard, ""))
 
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
-        if call.answer is None or not call.answer.is_success:
-            self._listener.add_failed((call.service,))
-            return
-        self._listener.add_parts(
-            Parts(
-                shards=(call.service,),
-                proofs=(call.answer.proof,),
-                records=call.answer.body,
-            )
-        )
+        report_settled(call, self._listener)
 
     def _log_failure(
         self, host: _resources.HostRecord, error: base.CowslipvalveError
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -48,12 +48,7 @@
         Raises:
           InputError: The body is not base64.
         """
-        try:
-            body = base64.b64decode(self.body, validate=True)
-        except ValueError as error:  # Not ASCII, or not base64.
-            raise base.InputError(
-                f"the body is not base64: {error}", step="read-group-request"
-            ) from error
+        body = _decode_base64(self.body, "read-group-request")
         return _calls.CallerRequest(
             request_id=self.request_id,
             method=self.method,
@@ -95,13 +90,14 @@
                 f"{len(self.proofs)} proofs for {len(self.answered)} parts",
                 step="read-group-report",
             )
-        try:
-            return base64.b64decode(self.records, validate=True)
-        except ValueError as error:  # Not ASCII, or not base64.
-            raise base.InputError(
-                f"the records are not base64: {error}",
-                step="read-group-report",
-            ) from error
+        return _decode_base64(self.records, "read-group-report")
+
+
+def _decode_base64(text: str, step: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:  # Not ASCII, or not base64.
+        raise base.InputError(f"not base64: {error}", step=step) from error
 
 
 def create_group_request(
--- a/packages/gateway/cowslipvalve_gateway/_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -34,7 +34,7 @@
 
     # The services of the shards.
     shards: tuple[str, ...]
-    # The preferred host and, if there is one, its substitute.
+    # The preferred host and its substitute.
     hosts: tuple[_resources.HostRecord, ...]
 
 
--- a/packages/gateway/cowslipvalve_gateway/_hosthealth.py
+++ b/packages/gateway/cowslipvalve_gateway/_hosthealth.py
@@ -25,7 +25,7 @@
         self._suspicions: dict[str, _Suspicion] = {}
 
     def is_suspect(self, host: str) -> bool:
-        """Whether a host is to be asked only if no other can be."""
+        """Whether a host is not to be asked for now."""
         suspicion = self._suspicions.get(host)
         if suspicion is None:
             return False
