Decode and log the rate limits that servers state

Our logs could not tell the three hypotheses of the exceeded limits apart. Hosts now decode the stated limit (in the adapter), keep it with each server, log each change and each attempt to a server with a limit, and count both (limited_servers, attempts_to_limited). Which servers are asked is unchanged.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -54,6 +54,9 @@
 from cowslipvalve_gateway._merges import merge_records
 from cowslipvalve_gateway._pools import ServerPool
 from cowslipvalve_gateway._pools import create_server_pool
+from cowslipvalve_gateway._ratelimits import NO_LIMIT
+from cowslipvalve_gateway._ratelimits import RateLimit
+from cowslipvalve_gateway._ratelimits import create_rate_limit
 from cowslipvalve_gateway._replicas import StateMessage
 from cowslipvalve_gateway._replicas import StateReplica
 from cowslipvalve_gateway._replicas import create_state_replica
@@ -112,11 +115,13 @@
     "Measurements",
     "MergedAnswer",
     "MisdirectedError",
+    "NO_LIMIT",
     "Outcome",
     "RECORD_BYTES",
     "RawAnswer",
     "Refusal",
     "RefusalReason",
+    "RateLimit",
     "RejectedError",
     "Route",
     "RoutingTable",
@@ -153,6 +158,7 @@
     "create_host_health",
     "create_loop_lag",
     "create_measurements",
+    "create_rate_limit",
     "create_server_selector",
     "create_server_client",
     "create_server_pool",
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -99,6 +99,10 @@
         """Returns the number of servers that are warming up."""
         return sum(view.is_cold for view in self._views.values())
 
+    def count_limited(self) -> int:
+        """Returns the number of servers that state a rate limit."""
+        return sum(view.rate_limit.is_stated for view in self._views.values())
+
     def count_connections(self) -> int:
         """Returns the number of open connections to servers."""
         return sum(view.pool.open_count for view in self._views.values())
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -39,6 +39,13 @@
     def idle_timeout_s(self, answer: _connections.RawAnswer) -> float | None:
         """Returns the server's idle timeout in s, None if it states none."""
 
+    def rate_limit(self, answer: _connections.RawAnswer) -> float | None:
+        """Returns the stated limit in requests per second.
+
+        It is infinite if the server states none, and None if the answer does
+        not tell.
+        """
+
 
 class ServerClient:
     """Sends requests to servers over pooled connections."""
@@ -78,12 +85,16 @@
         attempt_number = view.start_attempt()
         try:
             on_sent()
-            remaining_ms = max(1.0, deadline_ms - self._clock.now_ms())
+            sent_ms = self._clock.now_ms()
+            remaining_ms = max(1.0, deadline_ms - sent_ms)
             answer = await connection.exchange(
                 self._protocol.encode(request, view.server, remaining_ms),
                 lambda raw: self._protocol.is_answer_to(request, raw),
             )
             connection.idle_timeout_s = self._protocol.idle_timeout_s(answer)
+            rate_limit = self._protocol.rate_limit(answer)
+            if rate_limit is not None:
+                view.rate_limit.record(rate_limit, sent_ms)
         except BaseException:
             # The server drops a cancelled request when its connection
             # closes.
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -6,6 +6,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _pools
+from cowslipvalve_gateway import _ratelimits
 from cowslipvalve_gateway import _resources
 
 # Averages over about five answers, two seconds of one host's traffic.
@@ -30,6 +31,10 @@
         self._clock = clock
         self.server = server
         self.pool = pool
+        # The limit that the server states in its answers.
+        self.rate_limit = _ratelimits.create_rate_limit(
+            clock, server.instance_id
+        )
         # The start times of unanswered attempts by attempt number.
         self._running: dict[int, float] = {}
         self._next_attempt = 0
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -234,9 +234,23 @@
         attempt.sent_ms = self._context.clock.now_ms()
         self.attempts += 1
         self._context.measurements.count("attempts")
+        if attempt.view.rate_limit.is_stated:
+            self._record_sent_to_limited(attempt)
         if not self.is_settled:
             self._schedule_hedge(self._compute_hedge_delay_ms(attempt.view))
 
+    def _record_sent_to_limited(self, attempt: _Attempt) -> None:
+        kind = "first"
+        if attempt.is_extra:
+            kind = "hedge" if len(self._running) > 1 else "retry"
+        self._context.measurements.count("attempts_to_limited", kind)
+        self._log(
+            "limited-attempt",
+            attempt.view,
+            kind=kind,
+            requests_per_s=attempt.view.rate_limit.requests_per_s,
+        )
+
     def _record_unanswered(self, attempt: _Attempt) -> None:
         """Records a sent attempt that was cancelled."""
         if attempt.sent_ms is not None:
