--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -37,6 +37,9 @@
     omits_proof: bool = False
     # The Content-Encoding of the answers, which the body does not have.
     encoding: str = ""
+    # The Server-Limit of the answers, the requests per second that the server
+    # takes from all hosts together; not sent if empty.
+    rate_limit: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -157,6 +160,8 @@
         extra_headers = (
             [f"Content-Encoding: {faults.encoding}"] if faults.encoding else []
         )
+        if faults.rate_limit:
+            extra_headers.append(f"Server-Limit: {faults.rate_limit}")
         body = b"".join(self.records)
         if faults.is_unframed:
             head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
