Keep all hosts together within the rate limits that servers state

Cause: no host reacted to a stated limit; servers were chosen by latency alone.

Change: a limit is divided among the hosts that usually ask the server, as a token bucket each. The hosts agree on the division by rendezvous hashing and without messages, so their sum holds for any demand. Where a share would be less than one request at once, fewer hosts have shares, in all failure domains first, and the others ask one of them for a permit for each request. Hedges leave one token. What cannot be served is refused at once as not run; a fan-out that lacks too many shards is refused before it uses other shards' tokens. The end of a limit is learned from answers to requests sent after it was stated, and passed on with permits.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -54,6 +54,21 @@
 from cowslipvalve_gateway._merges import merge_records
 from cowslipvalve_gateway._pools import ServerPool
 from cowslipvalve_gateway._pools import create_server_pool
+from cowslipvalve_gateway._errors import RateLimitedError
+from cowslipvalve_gateway._limiters import Admission
+from cowslipvalve_gateway._limiters import Limiter
+from cowslipvalve_gateway._limiters import create_limiter
+from cowslipvalve_gateway._limitshares import LimitShare
+from cowslipvalve_gateway._limitshares import compute_share
+from cowslipvalve_gateway._limitshares import count_holders
+from cowslipvalve_gateway._limitshares import rank_holders
+from cowslipvalve_gateway._permithandlers import PermitHandler
+from cowslipvalve_gateway._permithandlers import create_permit_handler
+from cowslipvalve_gateway._permits import PERMIT_PATH
+from cowslipvalve_gateway._permits import PermitClient
+from cowslipvalve_gateway._permits import PermitReply
+from cowslipvalve_gateway._permits import PermitRequest
+from cowslipvalve_gateway._permits import create_permit_client
 from cowslipvalve_gateway._ratelimits import NO_LIMIT
 from cowslipvalve_gateway._ratelimits import RateLimit
 from cowslipvalve_gateway._ratelimits import create_rate_limit
@@ -86,6 +101,7 @@
 from cowslipvalve_gateway._watcherchoices import create_watcher_choice
 
 __all__ = [
+    "Admission",
     "AnswerLimits",
     "AnswerMemory",
     "AttemptBudget",
@@ -111,6 +127,8 @@
     "StateKind",
     "StateListing",
     "LoopLag",
+    "LimitShare",
+    "Limiter",
     "LostAnswerError",
     "Measurements",
     "MergedAnswer",
@@ -121,7 +139,13 @@
     "RawAnswer",
     "Refusal",
     "RefusalReason",
+    "PERMIT_PATH",
+    "PermitClient",
+    "PermitHandler",
+    "PermitReply",
+    "PermitRequest",
     "RateLimit",
+    "RateLimitedError",
     "RejectedError",
     "Route",
     "RoutingTable",
@@ -156,8 +180,13 @@
     "create_group_planner",
     "create_host_client",
     "create_host_health",
+    "create_limiter",
     "create_loop_lag",
     "create_measurements",
+    "compute_share",
+    "count_holders",
+    "create_permit_client",
+    "create_permit_handler",
     "create_rate_limit",
     "create_server_selector",
     "create_server_client",
@@ -168,6 +197,7 @@
     "create_state_replica",
     "create_watcher_choice",
     "merge_records",
+    "rank_holders",
     "read_body",
     "start_logs",
 ]
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -0,0 +1,55 @@
+"""Decides before anything is sent whether a fan-out can have enough parts.
+
+Answers the load of fan-outs over shards whose servers are out or have reached
+their limits. Such a fan-out would use what the other shards' limits allow,
+without an answer for its caller.
+"""
+
+import logging
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
+from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _refusals
+from cowslipvalve_gateway import _resources
+
+_logger = logging.getLogger(__name__)
+
+
+def refuse_fan_out(
+    context: _callcontexts.CallContext,
+    request: _calls.CallerRequest,
+    route: _resources.Route,
+) -> _calls.Refusal | None:
+    """Returns the refusal of a request that too few shards can answer now."""
+    usable = 0
+    # Until when all servers of a shard take no request, for each such shard.
+    waits_ms: list[float] = []
+    for service in route.shards:
+        views = context.selector.find_usable(route, service)
+        usable += bool(views)
+        if views and context.limiter.is_exhausted(views):
+            waits_ms.append(context.limiter.compute_wait_ms(views))
+    available = usable - len(waits_ms)
+    if route.meets_coverage(available):
+        return None
+    base.log_event(
+        _logger,
+        "too-few-shards",
+        request=request.request_id,
+        usable=usable,
+        limited=len(waits_ms),
+        shards=len(route.shards),
+        least=route.min_coverage,
+    )
+    if not route.meets_coverage(usable):
+        return _refusals.create_refusal(_calls.RefusalReason.NO_SERVER, False)
+    waits_ms.sort()
+    wait_ms = next(
+        wait_ms
+        for count, wait_ms in enumerate(waits_ms, 1)
+        if route.meets_coverage(available + count)
+    )
+    return _refusals.create_refusal(
+        _calls.RefusalReason.RATE_LIMITED, False, wait_ms
+    )
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_attempts.py
@@ -0,0 +1,41 @@
+"""Attempts of a call to get an answer from one server."""
+
+import asyncio
+
+import attrs
+
+from cowslipvalve_gateway import _limiters
+from cowslipvalve_gateway import _servers
+
+
+@attrs.frozen(kw_only=True)
+class Repeat:
+    """Marks a call whose request another host may have sent to servers."""
+
+    # The server that the other host asked first, empty if it is unknown.
+    server: str
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """One attempt to send the request to one server."""
+
+    # The server.
+    view: _servers.ServerView
+    # Whether the attempt was charged to the budget.
+    is_extra: bool
+    # Whether the attempt is sent though another one may still be answered.
+    is_hedge: bool
+    # How the server's limit allows the attempt.
+    admission: _limiters.Admission
+    # The task that waits for the answer.
+    task: asyncio.Task[None] | None = None
+    # When the request was sent, on the process's clock; None before that.
+    sent_ms: float | None = None
+
+    @property
+    def kind(self) -> str:
+        """The kind of the attempt for logs and metrics."""
+        if self.is_hedge:
+            return "hedge"
+        return "retry" if self.is_extra else "first"
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -9,6 +9,7 @@
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _groupclients
 from cowslipvalve_gateway import _hosthealth
+from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
@@ -20,6 +21,8 @@
 
     # The state that this host serves by.
     catalog: _catalogs.Catalog
+    # Keeps requests within the limits that servers state.
+    limiter: _limiters.Limiter
     # Chooses servers.
     selector: _selectors.ServerSelector
     # Sends requests.
--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -71,6 +71,7 @@
     BAD_REQUEST = "bad-request"
     NO_SERVER = "no-server"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate-limited"
     LOST = "lost"
     BAD_ANSWER = "bad-answer"
     LOW_COVERAGE = "low-coverage"
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Collection
 
 import attrs
 
@@ -40,6 +41,7 @@
       domains_out: The failure domains that receive no requests.
       hosts: The records of the deployment's hosts by name.
       has_servers: Whether a whole listing of the servers was received.
+      shares_version: Increases whenever the hosts or the routes change.
       planner: Plans which hosts ask the shards of a fan-out; None if each
         host asks all of them.
     """
@@ -67,6 +69,7 @@
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
         self.has_servers = False
+        self.shares_version = 0
         self._completed = asyncio.Event()
 
     @property
@@ -170,8 +173,15 @@
             return float(self.host_count)
         return 1.0 / self.planner.find_share(service)
 
+    def find_askers(self, service: str) -> Collection[_resources.HostRecord]:
+        """Returns the hosts that usually send requests to a service."""
+        if self.planner is None:
+            return self.hosts.values()
+        return self.planner.find_askers(service)
+
     def _update_shares(self) -> None:
         """Applies a change of the routes or the hosts to the limits."""
+        self.shares_version += 1
         if self.planner is not None and self.table is not None:
             self.planner.update(
                 (route.shards for route in self.table.routes if route.shards),
@@ -295,6 +305,10 @@
             default=float("inf"),
         )
 
+    def find_server(self, instance_id: str) -> _servers.ServerView | None:
+        """Returns a server, None if it is not registered."""
+        return self._views.get(instance_id)
+
     def servers_of(self, service: str) -> list[_servers.ServerView]:
         """Returns all servers of a service, whether usable or not."""
         return self._by_service.get(service, [])
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -11,6 +11,10 @@
     """All connections of this host to the server are in use; retry shortly."""
 
 
+class RateLimitedError(UnsentError):
+    """The request would exceed the limit that the server states."""
+
+
 class RejectedError(base.CowslipvalveError):
     """The server reports that it has not run the request."""
 
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -8,9 +8,9 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupcalls
 from cowslipvalve_gateway import _merges
+from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
-from cowslipvalve_gateway import _singlecalls
 
 # If more shards are unresponsive, this host is probably at fault.
 _MAX_UNRESPONSIVE_SHARDS = 3
@@ -111,7 +111,7 @@
         reason = _calls.RefusalReason.LOW_COVERAGE
         if is_late:
             reason = _calls.RefusalReason.TIMEOUT
-        return _singlecalls.create_refusal(reason, self._may_have_run())
+        return _refusals.create_refusal(reason, self._may_have_run())
 
     def add_parts(self, parts: _groupcalls.Parts) -> None:
         """Takes parts of shards that had none."""
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -3,6 +3,7 @@
 import logging
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _admissions
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _fanouts
@@ -75,19 +76,9 @@
             return await _singlecalls.call_single(
                 self._context, request, route, service, deadline_ms
             )
-        usable = self._count_usable(route)
-        if not route.meets_coverage(usable):
-            base.log_event(
-                _logger,
-                "too-few-shards",
-                request=request.request_id,
-                usable=usable,
-                shards=len(route.shards),
-                least=route.min_coverage,
-            )
-            return _singlecalls.create_refusal(
-                _calls.RefusalReason.NO_SERVER, False
-            )
+        refusal = _admissions.refuse_fan_out(self._context, request, route)
+        if refusal is not None:
+            return refusal
         fan_out = _fanouts.FanOut(self._context, request, route, deadline_ms)
         outcome = await fan_out.run()
         unanswered = fan_out.unanswered
@@ -104,13 +95,6 @@
             )
         return outcome
 
-    def _count_usable(self, route: _resources.Route) -> int:
-        return sum(
-            1
-            for service in route.shards
-            if self._context.selector.find_usable(route, service)
-        )
-
     def _log_outcome(
         self,
         request: _calls.CallerRequest,
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -9,6 +9,7 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
@@ -216,8 +217,8 @@
             self._remaining.pop(call.service, None)
             call.start()
 
-    def _create_repeat(self, shard: str) -> _servicecalls.Repeat:
-        return _servicecalls.Repeat(server=self._asked.get(shard, ""))
+    def _create_repeat(self, shard: str) -> _attempts.Repeat:
+        return _attempts.Repeat(server=self._asked.get(shard, ""))
 
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
         report_settled(call, self._listener)
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -4,6 +4,7 @@
 import base64
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupmessages
@@ -40,7 +41,7 @@
             if not context.selector.find_usable(message.route, service)
         ]
         repeats = {
-            service: _servicecalls.Repeat(server=server)
+            service: _attempts.Repeat(server=server)
             for service, server in zip(
                 message.route.shards, message.asked, strict=False
             )
--- a/packages/gateway/cowslipvalve_gateway/_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -5,7 +5,7 @@
 
 import collections
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -54,6 +54,12 @@
         self._shares: dict[str, float] = {}
         # The grouped services that this host asks or substitutes for.
         self._asked: set[str] = set()
+        self._shard_sets: frozenset[tuple[str, ...]] = frozenset()
+        # The preferred hosts of all domains by service, for each set of shards
+        # that was asked about since the last update.
+        self._askers: dict[
+            tuple[str, ...], dict[str, list[_resources.HostRecord]]
+        ] = {}
 
     def update(
         self,
@@ -70,8 +76,10 @@
         self._groups = {}
         self._shares = {}
         self._asked = set()
+        self._askers = {}
         domains = _group_by_domain(self._hosts.values())
-        unique_sets = set(shard_sets)
+        unique_sets = frozenset(shard_sets)
+        self._shard_sets = unique_sets
         set_counts = collections.Counter(s for u in unique_sets for s in u)
         for shards in unique_sets:
             self._groups[shards] = _create_groups(
@@ -87,6 +95,40 @@
         """Whether this host usually asks a service, or may soon have to."""
         return service not in self._shares or service in self._asked
 
+    def find_askers(self, service: str) -> Collection[_resources.HostRecord]:
+        """Returns the hosts of all domains that usually ask a service.
+
+        Substitutes are left out, as they ask only for hosts that have failed.
+        """
+        sets = [shards for shards in self._shard_sets if service in shards]
+        if not sets:
+            return self._hosts.values()
+        found: dict[str, _resources.HostRecord] = {}
+        for shards in sets:
+            for host in self._find_set_askers(shards)[service]:
+                found[host.name] = host
+        return found.values()
+
+    def _find_set_askers(
+        self, shards: tuple[str, ...]
+    ) -> dict[str, list[_resources.HostRecord]]:
+        """Returns the hosts that usually ask each shard of a set."""
+        if shards in self._askers:
+            return self._askers[shards]
+        askers: dict[str, list[_resources.HostRecord]] = {
+            service: [] for service in shards
+        }
+        for hosts in _group_by_domain(self._hosts.values()).values():
+            groups = _create_groups(shards, hosts)
+            for group in groups:
+                for service in group.shards:
+                    askers[service].append(group.hosts[0])
+            if not groups:
+                for service in shards:
+                    askers[service].extend(hosts)
+        self._askers[shards] = askers
+        return askers
+
     def find_share(self, service: str) -> float:
         """Returns this host's share, at most 1, of the limits on a service."""
         return self._shares.get(service, 1.0 / len(self._hosts))
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -0,0 +1,262 @@
+"""Decides whether this host may send a request to a server with a limit."""
+
+import enum
+import logging
+import math
+from collections.abc import Iterable
+
+import attrs
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hosthealth
+from cowslipvalve_gateway import _limitshares
+from cowslipvalve_gateway import _permits
+from cowslipvalve_gateway import _ratelimits
+from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _servers
+
+# Hedges leave one token for a first attempt, which cannot go elsewhere.
+_HEDGE_TOKENS = 2.0
+# If a holder has no token, another may have; more would cost the caller time.
+_MAX_HOLDERS_ASKED = 2
+# The longest round trip between regions, and a busy host.
+_PERMIT_TIMEOUT_MS = 100.0
+# A host that no holder answers tries again after about as long as it takes to
+# notice that a host is gone.
+_UNREACHABLE_RETRY_MS = 1_000.0
+_MIN_REFUSED_MS = 50.0  # A round trip, if the asked host has no share.
+
+_logger = logging.getLogger(__name__)
+
+
+class Admission(enum.Enum):
+    """How a server's limit allows a request."""
+
+    UNLIMITED = "unlimited"
+    # A token of this host's share was taken.
+    TOKEN_TAKEN = "token-taken"  # noqa: S105
+    # Another host has to permit the request before it is sent.
+    PERMIT_NEEDED = "permit-needed"
+
+
+@attrs.define
+class _Holders:
+    """The hosts that may have a share of a server's limit, in their order."""
+
+    ranked: tuple[_resources.HostRecord, ...]
+    # The place of this host in that order, len(ranked) if it is not in it.
+    own_index: int
+
+
+class Limiter:
+    """Keeps this host's requests within its shares of the servers' limits.
+
+    A host without a share of a limit asks one that has a share for each
+    request.
+    """
+
+    def __init__(
+        self,
+        catalog: _catalogs.Catalog,
+        clock: base.Clock,
+        own: _resources.HostRecord,
+        permits: _permits.PermitClient,
+        health: _hosthealth.HostHealth,
+    ) -> None:
+        self._catalog = catalog
+        self._clock = clock
+        self._own = own
+        self._permits = permits
+        self._health = health
+        # By server; valid for one version of the hosts and routes.
+        self._holders: dict[str, _Holders] = {}
+        self._holders_version = -1
+
+    def may_take(self, view: _servers.ServerView, is_hedge: bool) -> bool:
+        """Whether a request may be sent to a server, or a permit asked for."""
+        limit = view.rate_limit
+        if not limit.is_stated:
+            return True
+        if self._update_share(view):
+            return limit.has_tokens(_HEDGE_TOKENS if is_hedge else 1.0)
+        return not is_hedge and self._clock.now_ms() >= limit.refused_until_ms
+
+    def admit(self, view: _servers.ServerView) -> Admission:
+        """Takes a token for one request, if the server has a limit.
+
+        Only to be called if may_take returned true.
+        """
+        if not view.rate_limit.is_stated:
+            return Admission.UNLIMITED
+        if not self._update_share(view):
+            return Admission.PERMIT_NEEDED
+        view.rate_limit.take()
+        return Admission.TOKEN_TAKEN
+
+    async def ask_permit(self, view: _servers.ServerView) -> None:
+        """Asks hosts that have a share of a server's limit for a permit.
+
+        Raises:
+          RateLimitedError: No host gave a permit.
+        """
+        limit = view.rate_limit
+        wait_ms = math.inf
+        for host in self._rank_for_asking(view)[:_MAX_HOLDERS_ASKED]:
+            if not limit.is_stated:
+                return
+            reply = await self._ask(host, view)
+            if reply is None:
+                continue
+            limit.adopt(
+                _ratelimits.NO_LIMIT
+                if reply.requests_per_s is None
+                else reply.requests_per_s,
+                self._clock.now_ms() - reply.age_ms,
+            )
+            if reply.is_granted:
+                return
+            wait_ms = min(wait_ms, reply.wait_ms)
+        if not math.isfinite(wait_ms):
+            wait_ms = _UNREACHABLE_RETRY_MS
+        wait_ms = max(wait_ms, _MIN_REFUSED_MS)
+        limit.refused_until_ms = self._clock.now_ms() + wait_ms
+        raise _errors.RateLimitedError(
+            f"no host has a permit for the next {wait_ms:.0f} ms",
+            step="ask-permit",
+            peer=view.server.instance_id,
+        )
+
+    def answer(self, request: _permits.PermitRequest) -> _permits.PermitReply:
+        """Returns whether another host may send one request to a server."""
+        view = self._catalog.find_server(request.server)
+        if view is None:
+            return _permits.PermitReply(
+                is_granted=False,
+                wait_ms=_UNREACHABLE_RETRY_MS,
+                requests_per_s=request.requests_per_s,
+                age_ms=request.age_ms,
+            )
+        limit = view.rate_limit
+        limit.adopt(
+            request.requests_per_s, self._clock.now_ms() - request.age_ms
+        )
+        is_granted = not limit.is_stated
+        if limit.is_stated and self._update_share(view):
+            is_granted = limit.has_tokens(1.0)
+            if is_granted:
+                limit.take()
+        return _permits.PermitReply(
+            is_granted=is_granted,
+            wait_ms=limit.compute_wait_ms(),
+            requests_per_s=limit.requests_per_s if limit.is_stated else None,
+            age_ms=self._clock.now_ms() - limit.stated_ms,
+        )
+
+    def is_exhausted(self, views: Iterable[_servers.ServerView]) -> bool:
+        """Whether none of some servers may be sent a request now."""
+        return not any(self.may_take(view, False) for view in views)
+
+    def compute_wait_ms(self, views: Iterable[_servers.ServerView]) -> float:
+        """Returns after how many ms the first of some servers may be asked."""
+        return min(
+            (view.rate_limit.compute_wait_ms() for view in views), default=0.0
+        )
+
+    def _update_share(self, view: _servers.ServerView) -> bool:
+        """Applies the present share; returns whether this host has one."""
+        limit = view.rate_limit
+        holders = self._find_holders(view)
+        count = _limitshares.count_holders(
+            limit.requests_per_s, len(holders.ranked)
+        )
+        has_share = holders.own_index < count
+        limit.set_share(
+            _limitshares.compute_share(limit.requests_per_s, count)
+            if has_share
+            else _limitshares.NO_SHARE
+        )
+        return has_share
+
+    def _find_holders(self, view: _servers.ServerView) -> _Holders:
+        if self._holders_version != self._catalog.shares_version:
+            self._holders_version = self._catalog.shares_version
+            self._holders = {}
+        name = view.server.instance_id
+        if name not in self._holders:
+            ranked = _limitshares.rank_holders(
+                self._catalog.find_askers(view.server.service), name
+            )
+            names = [host.name for host in ranked]
+            self._holders[name] = _Holders(
+                ranked,
+                names.index(self._own.name)
+                if self._own.name in names
+                else len(names),
+            )
+        return self._holders[name]
+
+    def _rank_for_asking(
+        self, view: _servers.ServerView
+    ) -> list[_resources.HostRecord]:
+        """Returns the holders, those of this host's domain first.
+
+        The order of the rest depends on this host, which spreads the hosts.
+        """
+        ranked = self._find_holders(view).ranked
+        count = _limitshares.count_holders(
+            view.rate_limit.requests_per_s, len(ranked)
+        )
+        holders = {
+            host.name: host
+            for host in ranked[:count]
+            if host.name != self._own.name
+            and not self._health.is_suspect(host.name)
+        }
+        order = base.rank_names(holders, self._own.name)
+        return sorted(
+            (holders[name] for name in order),
+            key=lambda host: host.domain != self._own.domain,
+        )
+
+    async def _ask(
+        self, host: _resources.HostRecord, view: _servers.ServerView
+    ) -> _permits.PermitReply | None:
+        limit = view.rate_limit
+        request = _permits.PermitRequest(
+            server=view.server.instance_id,
+            requests_per_s=limit.requests_per_s,
+            age_ms=self._clock.now_ms() - limit.stated_ms,
+        )
+        try:
+            reply = await self._permits.ask(
+                host.state_address, request, _PERMIT_TIMEOUT_MS
+            )
+        except _errors.HostUnavailableError as error:
+            self._health.record_failure(host.name)
+            base.log_event(
+                _logger, "permit-failed", logging.WARNING, error=error
+            )
+            return None
+        self._health.record_success(host.name)
+        return reply
+
+
+def create_limiter(
+    catalog: _catalogs.Catalog,
+    clock: base.Clock,
+    own: _resources.HostRecord,
+    permits: _permits.PermitClient,
+    health: _hosthealth.HostHealth,
+) -> Limiter:
+    """Creates the limiter of a host.
+
+    Args:
+      catalog: The servers and the hosts.
+      clock: The clock of the process.
+      own: The record of this host.
+      permits: Asks other hosts for permits.
+      health: Which other hosts have failed recently.
+    """
+    return Limiter(catalog, clock, own, permits, health)
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_permits.py
@@ -0,0 +1,85 @@
+"""Permits by which a host with a share of a limit lets another host send."""
+
+import aiohttp
+import attrs
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _bodies
+from cowslipvalve_gateway import _errors
+
+PERMIT_PATH = "/permit"
+_HTTP_OK = 200
+
+
+@attrs.frozen(kw_only=True)
+class PermitRequest:
+    """Asks for a permit to send one request to a server."""
+
+    # The server.
+    server: str
+    # The limit that the asking host knows, and how many ms ago it was stated.
+    requests_per_s: float
+    age_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class PermitReply:
+    """Whether one request may be sent to the server."""
+
+    is_granted: bool
+    # After how many ms another permit may be had.
+    wait_ms: float
+    # The limit that the answering host knows, None if the server states none,
+    # and how many ms ago it was stated.
+    requests_per_s: float | None
+    age_ms: float
+
+
+class PermitClient:
+    """Asks other hosts for permits."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def ask(
+        self, address: str, request: PermitRequest, timeout_ms: float
+    ) -> PermitReply:
+        """Returns the reply of a host.
+
+        Args:
+          address: The state address of the host.
+          request: The request.
+          timeout_ms: How long to wait for the reply.
+
+        Raises:
+          HostUnavailableError: The host did not return a valid reply.
+        """
+        try:
+            async with self._session.post(
+                f"http://{address}{PERMIT_PATH}",
+                data=base.encode(request),
+                timeout=aiohttp.ClientTimeout(
+                    total=base.to_seconds(timeout_ms)
+                ),
+            ) as response:
+                body = await _bodies.read_body(response)
+            if response.status == _HTTP_OK:
+                return base.decode(PermitReply, body)
+            cause = f"status {response.status}"
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            base.InputError,
+        ) as error:
+            cause = repr(error)
+        raise _errors.HostUnavailableError(
+            f"the host did not answer about a permit: {cause}",
+            step="ask-permit",
+            peer=address,
+        )
+
+
+def create_permit_client(session: aiohttp.ClientSession) -> PermitClient:
+    """Creates a client for the permits of other hosts."""
+    return PermitClient(session)
--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -1,29 +1,39 @@
-"""The rate limit that a server states in its answers."""
+"""The rate limit that a server states, and this host's use of it."""
 
 import logging
 import math
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _limitshares
 
 NO_LIMIT = math.inf
+_MS_PER_S = 1_000.0
 
 _logger = logging.getLogger(__name__)
 
 
 class RateLimit:
-    """The newest limit that a server has stated.
+    """The newest limit that a server has stated, with a token bucket.
+
+    Each request to the server takes a token of the hosts' shares.
 
     Attributes:
       requests_per_s: The requests per second that the server takes from all
         hosts together, NO_LIMIT if it states none.
       stated_ms: When the server last stated it, on the process's clock.
+      refused_until_ms: Until when other hosts have no token for this one.
     """
 
     def __init__(self, clock: base.Clock, server: str) -> None:
         self._clock = clock
         self._server = server
+        self._share = _limitshares.NO_SHARE
+        self._tokens = 0.0
+        self._refilled_ms = clock.now_ms()
+        self._was_ever_stated = False
         self.requests_per_s = NO_LIMIT
         self.stated_ms = -math.inf
+        self.refused_until_ms = -math.inf
 
     @property
     def is_stated(self) -> bool:
@@ -40,14 +50,58 @@
           requests_per_s: The limit, NO_LIMIT if the answer states none.
           sent_ms: When the request was sent, on the process's clock.
         """
-        if requests_per_s == NO_LIMIT and sent_ms <= self.stated_ms:
+        is_end = self.is_stated and requests_per_s == NO_LIMIT
+        if is_end and sent_ms <= self.stated_ms:
             return
-        self._replace(requests_per_s, self._clock.now_ms())
+        self._replace(requests_per_s, self._clock.now_ms(), math.inf)
+
+    def adopt(self, requests_per_s: float, stated_ms: float) -> None:
+        """Takes what another host knows, if that is newer.
+
+        The hosts together may have used all of a limit that is new to this one.
+        """
+        if stated_ms > self.stated_ms:
+            self._replace(requests_per_s, stated_ms, 0.0)
+
+    def set_share(self, share: _limitshares.LimitShare) -> None:
+        """Replaces this host's share of the limit."""
+        now_ms = self._clock.now_ms()
+        elapsed_s = base.to_seconds(now_ms - self._refilled_ms)
+        self._tokens += elapsed_s * self._share.requests_per_s
+        self._tokens = min(self._tokens, share.burst)
+        self._refilled_ms = now_ms
+        self._share = share
+
+    def has_tokens(self, count: float) -> bool:
+        """Whether the bucket holds some tokens since the last set_share."""
+        return self._tokens >= count
+
+    def take(self) -> None:
+        """Takes one token."""
+        self._tokens -= 1.0
+
+    def refund(self) -> None:
+        """Returns the token of a request that was not sent."""
+        self._tokens += 1.0
+
+    def compute_wait_ms(self) -> float:
+        """Returns for how long this host may send nothing to the server."""
+        if not self._share.requests_per_s:
+            return max(0.0, self.refused_until_ms - self._clock.now_ms())
+        lacking = max(0.0, 1.0 - self._tokens)
+        return lacking / self._share.requests_per_s * _MS_PER_S
 
-    def _replace(self, requests_per_s: float, stated_ms: float) -> None:
+    def _replace(
+        self, requests_per_s: float, stated_ms: float, first_tokens: float
+    ) -> None:
         old = self.requests_per_s
         self.requests_per_s = requests_per_s
         self.stated_ms = stated_ms
+        if self.is_stated and not self._was_ever_stated:
+            # The next set_share reduces it to the share's burst.
+            self._was_ever_stated = True
+            self._tokens = first_tokens
+            self._refilled_ms = self._clock.now_ms()
         if requests_per_s != old:
             base.log_event(
                 _logger,
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -7,6 +7,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _latencies
+from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
@@ -29,8 +30,14 @@
 class ServerSelector:
     """Chooses servers by expected latency, based on earlier answers."""
 
-    def __init__(self, catalog: _catalogs.Catalog, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        catalog: _catalogs.Catalog,
+        clock: base.Clock,
+        limiter: _limiters.Limiter,
+    ) -> None:
         self._catalog = catalog
+        self._limiter = limiter
         self._clock = clock
         self._latencies: dict[tuple[str, str], _latencies.RecentLatencies] = {}
 
@@ -57,16 +64,20 @@
         route: _resources.Route,
         service: str,
         excluded: Collection[_servers.ServerView],
+        is_hedge: bool = False,
     ) -> _servers.ServerView | None:
         """Returns the usable server with the least expected latency, if any.
 
-        A cold server that has had its share of requests for now is left out.
+        A server that has had its share of requests for now, because it is cold
+        or states a limit, is left out.
         """
         cold_rate = self._catalog.cold_rate(service)
         views = [
             view
             for view in self.find_usable(route, service)
-            if view not in excluded and view.may_send(cold_rate)
+            if view not in excluded
+            and view.may_send(cold_rate)
+            and self._limiter.may_take(view, is_hedge)
         ]
         if not views:
             return None
@@ -161,7 +172,9 @@
 
 
 def create_server_selector(
-    catalog: _catalogs.Catalog, clock: base.Clock
+    catalog: _catalogs.Catalog,
+    clock: base.Clock,
+    limiter: _limiters.Limiter,
 ) -> ServerSelector:
     """Creates the server selector of a host."""
-    return ServerSelector(catalog, clock)
+    return ServerSelector(catalog, clock, limiter)
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -4,25 +4,21 @@
 import logging
 from collections.abc import Callable
 
-import attrs
-
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hedgedelays
+from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
-_MIN_HEDGE_PERCENTILE = 85
-_MAX_HEDGE_PERCENTILE = 96
 # Outlasts a usual pause of a server, as cancelling costs a new connection.
 _SUPERSEDED_TIMEOUT_MS = 400.0
 _OVERLOAD_RETRY_MS = 25.0  # A full server completes a request in this time.
 # A longer wait for a connection costs callers more than a failed attempt.
 _CONNECT_TARGET_SHARE = 0.25
-_UNSENT_HEDGE_TARGET_SHARE = 0.3  # Connecting takes longer than any round trip.
-# Leaves time for a second attempt of this length.
-_DEFAULT_HEDGE_TARGET_SHARE = 0.25
 # How often a call checks whether a cold server may get its request.
 _COLD_RETRY_MS = 20.0
 _FIRST_SERVER_ERROR = 500
@@ -30,28 +26,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class Repeat:
-    """Marks a call whose request another host may have sent to servers."""
-
-    # The server that the other host asked first, empty if it is unknown.
-    server: str
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Attempt:
-    """One attempt to send the request to one server."""
-
-    # The server.
-    view: _servers.ServerView
-    # Whether the attempt was charged to the budget.
-    is_extra: bool
-    # The task that waits for the answer.
-    task: asyncio.Task[None] | None = None
-    # When the request was sent, on the process's clock; None before that.
-    sent_ms: float | None = None
-
-
 class ServiceCall:
     """Obtains one answer from a service.
 
@@ -72,7 +46,7 @@
         service: str,
         deadline_ms: float,
         on_settled: Callable[["ServiceCall"], None],
-        repeat: Repeat | None = None,
+        repeat: _attempts.Repeat | None = None,
     ) -> None:
         """Creates a call that is not started.
 
@@ -95,7 +69,7 @@
         self._on_settled = on_settled
         self._repeat = repeat
         self._tried: list[_servers.ServerView] = []
-        self._running: list[_Attempt] = []
+        self._running: list[_attempts.Attempt] = []
         self._timer: asyncio.TimerHandle | None = None
         self.service = service
         self.answer: _calls.ServerAnswer | None = None
@@ -115,6 +89,15 @@
         views = self._context.selector.find_usable(self._route, self.service)
         return all(view.is_ejected for view in views)
 
+    @property
+    def wait_ms(self) -> float:
+        """How long the limits of all servers are used up, in ms."""
+        if self.reason is not _calls.RefusalReason.RATE_LIMITED:
+            return 0.0
+        return self._context.limiter.compute_wait_ms(
+            self._context.selector.find_usable(self._route, self.service)
+        )
+
     def describe(self) -> str:
         """Returns service, tried servers, attempts and state for a log line."""
         state = self.reason.value if self.is_settled else "waiting"
@@ -132,8 +115,15 @@
         if self.is_settled or self._start_attempt():
             return
         if not self._wait_for_cold_server():
+            self._note_exhausted_limits()
             self._settle()
 
+    def _note_exhausted_limits(self) -> None:
+        """Changes the reason if the limits of all servers are used up."""
+        usable = self._context.selector.find_usable(self._route, self.service)
+        if usable and self._context.limiter.is_exhausted(usable):
+            self.reason = _calls.RefusalReason.RATE_LIMITED
+
     def _wait_for_cold_server(self) -> bool:
         is_paced = self._context.selector.has_paced(
             self._route, self.service, self._tried
@@ -161,7 +151,7 @@
         if self.attempts + unsent >= self._route.max_attempts:
             return False
         view = self._context.selector.choose(
-            self._route, self.service, self._find_excluded()
+            self._route, self.service, self._find_excluded(), is_hedge
         )
         if view is None:
             return False
@@ -173,12 +163,17 @@
             self._context.catalog.count_sharers(self.service), is_hedge
         ):
             return False
-        attempt = _Attempt(view=view, is_extra=is_extra)
+        attempt = _attempts.Attempt(
+            view=view,
+            is_extra=is_extra,
+            is_hedge=is_hedge,
+            admission=self._context.limiter.admit(view),
+        )
         view.record_send()
         self._tried.append(view)
         self._running.append(attempt)
         attempt.task = asyncio.create_task(self._run(attempt))
-        self._schedule_hedge(self._route.target_ms * _UNSENT_HEDGE_TARGET_SHARE)
+        self._schedule_hedge(_hedgedelays.compute_unsent_delay_ms(self._route))
         return True
 
     def _find_excluded(self) -> list[_servers.ServerView]:
@@ -192,9 +187,11 @@
         others = [v for v in usable if v.server.instance_id != asked]
         return [*self._tried, *others]
 
-    async def _run(self, attempt: _Attempt) -> None:
+    async def _run(self, attempt: _attempts.Attempt) -> None:
         view = attempt.view
         try:
+            if attempt.admission is _limiters.Admission.PERMIT_NEEDED:
+                await self._context.limiter.ask_permit(view)
             answer = await self._context.client.call(
                 view,
                 self._request,
@@ -207,6 +204,10 @@
             self._handle_failure(
                 attempt, _calls.RefusalReason.OVERLOADED, error
             )
+        except _errors.RateLimitedError as error:
+            self._handle_failure(
+                attempt, _calls.RefusalReason.RATE_LIMITED, error
+            )
         except _errors.UnsentError as error:
             self._handle_failure(attempt, _calls.RefusalReason.NO_SERVER, error)
         except _errors.MisdirectedError as error:
@@ -226,11 +227,19 @@
             self.has_run = True
             self._accept_answer(attempt, answer)
         finally:
-            self._remove_running(attempt)
-            if attempt.is_extra and attempt.sent_ms is None:
-                self._context.budget(self.service).refund()
+            if attempt in self._running:
+                self._running.remove(attempt)
+            if attempt.sent_ms is None:
+                self._refund(attempt)
+
+    def _refund(self, attempt: _attempts.Attempt) -> None:
+        """Returns what was taken for an attempt that was not sent."""
+        if attempt.is_extra:
+            self._context.budget(self.service).refund()
+        if attempt.admission is _limiters.Admission.TOKEN_TAKEN:
+            attempt.view.rate_limit.refund()
 
-    def _record_sent(self, attempt: _Attempt) -> None:
+    def _record_sent(self, attempt: _attempts.Attempt) -> None:
         attempt.sent_ms = self._context.clock.now_ms()
         self.attempts += 1
         self._context.measurements.count("attempts")
@@ -239,19 +248,16 @@
         if not self.is_settled:
             self._schedule_hedge(self._compute_hedge_delay_ms(attempt.view))
 
-    def _record_sent_to_limited(self, attempt: _Attempt) -> None:
-        kind = "first"
-        if attempt.is_extra:
-            kind = "hedge" if len(self._running) > 1 else "retry"
-        self._context.measurements.count("attempts_to_limited", kind)
+    def _record_sent_to_limited(self, attempt: _attempts.Attempt) -> None:
+        self._context.measurements.count("attempts_to_limited", attempt.kind)
         self._log(
             "limited-attempt",
             attempt.view,
-            kind=kind,
+            kind=attempt.kind,
             requests_per_s=attempt.view.rate_limit.requests_per_s,
         )
 
-    def _record_unanswered(self, attempt: _Attempt) -> None:
+    def _record_unanswered(self, attempt: _attempts.Attempt) -> None:
         """Records a sent attempt that was cancelled."""
         if attempt.sent_ms is not None:
             self._context.selector.record_unanswered(
@@ -260,12 +266,8 @@
                 self._context.clock.now_ms() - attempt.sent_ms,
             )
 
-    def _remove_running(self, attempt: _Attempt) -> None:
-        if attempt in self._running:
-            self._running.remove(attempt)
-
     def _accept_answer(
-        self, attempt: _Attempt, answer: _calls.ServerAnswer
+        self, attempt: _attempts.Attempt, answer: _calls.ServerAnswer
     ) -> None:
         if answer.is_success or answer.status < _FIRST_SERVER_ERROR:
             assert attempt.sent_ms is not None
@@ -288,13 +290,15 @@
 
     def _handle_failure(
         self,
-        attempt: _Attempt,
+        attempt: _attempts.Attempt,
         reason: _calls.RefusalReason,
         error: base.CowslipvalveError | None,
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
-        self._remove_running(attempt)
-        if not isinstance(error, _errors.PoolBusyError):
+        self._running.remove(attempt)
+        if not isinstance(
+            error, (_errors.PoolBusyError, _errors.RateLimitedError)
+        ):
             attempt.view.record_failure()
         self._context.measurements.count("failed_attempts", reason.value)
         self._log(
@@ -338,18 +342,8 @@
         )
 
     def _compute_hedge_delay_ms(self, view: _servers.ServerView) -> float:
-        """Returns how many ms to wait for an answer before a hedge is sent.
-
-        A hedge should still answer within the target. Where the target leaves
-        time, the delay is longer, so that fewer slow answers cause a hedge.
-        """
         latencies = self._context.selector.latencies(self._route, view)
-        if not latencies.has_percentiles:
-            return self._route.target_ms * _DEFAULT_HEDGE_TARGET_SHARE
-        min_delay_ms = latencies.percentile_ms(_MIN_HEDGE_PERCENTILE)
-        max_delay_ms = latencies.percentile_ms(_MAX_HEDGE_PERCENTILE)
-        useful_delay_ms = self._route.target_ms / 2 - min_delay_ms
-        return max(min_delay_ms, min(max_delay_ms, useful_delay_ms))
+        return _hedgedelays.compute_hedge_delay_ms(self._route, latencies)
 
     def _hedge(self) -> None:
         """Sends a hedge to another server unless the call is settled."""
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -5,11 +5,10 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 
-_RETRY_AFTER_MS = 200.0  # A slot of the slowest service is free by then.
-
 
 async def call_single(
     context: _callcontexts.CallContext,
@@ -33,7 +32,7 @@
             await settled.wait()
     except TimeoutError:
         call.abandon()
-        return create_refusal(
+        return _refusals.create_refusal(
             _calls.RefusalReason.TIMEOUT, call.has_run or call.attempts > 0
         )
     except asyncio.CancelledError:
@@ -41,15 +40,4 @@
         raise
     if call.answer is not None:
         return call.answer
-    return create_refusal(call.reason, call.has_run)
-
-
-def create_refusal(
-    reason: _calls.RefusalReason, may_have_run: bool
-) -> _calls.Refusal:
-    """Creates a refusal, with a retry delay if no server can have run it."""
-    return _calls.Refusal(
-        reason=reason,
-        is_not_run=not may_have_run,
-        retry_after_ms=None if may_have_run else _RETRY_AFTER_MS,
-    )
+    return _refusals.create_refusal(call.reason, call.has_run, call.wait_ms)
