Test that an answer cut at any byte is lost

Another operator saw 200s with an empty or short body, framed as whole, after a server had stopped in the middle of an answer's head and closed. It does not happen here: answers with a length, chunked ones, ones after an informational response, after a late answer to another request and as the second on a kept connection were cut at each byte and closed; each is told as lost. No change of the code. An answer without a length is whole at its end, as the protocol says; its close after an incomplete head is an error, too.

--- a/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
@@ -156,6 +156,57 @@
         answer = await self.exchange(memory)
         self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
+    async def test_answer_cut_at_any_byte_is_lost(self) -> None:
+        head = _OK + b"Server-Stamp: a.1\r\nRequest-Id: r\r\n"
+        hint = b"HTTP/1.1 103 Early Hints\r\nServer-Stamp: x\r\n\r\n"
+        late = head.replace(b": r", b": other") + b"Content-Length: 1\r\n\r\nx"
+        sized = b"Content-Length: 4\r\n\r\nbody"
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+        answers = {
+            "with length": head + sized,
+            "chunked": head + chunked,
+            "after a hint": hint + head + sized,
+            "after a late answer": late + head + chunked,
+            # Only the end of the connection completes this one.
+            "head without length": head + b"\r",
+        }
+        memory = gateway.create_answer_memory(_LIMITS)
+        for name, answer in answers.items():
+            for size in range(len(answer)):
+                with self.subTest(name, size=size):
+                    await self.start(iter([answer[:size]]))
+                    with self.assertRaises(gateway.LostAnswerError):
+                        await self.exchange(memory)
+
+    async def test_answer_cut_on_a_kept_connection_is_lost(self) -> None:
+        answer = _OK + b"Content-Length: 4\r\n\r\nbody"
+        for size in range(len(answer)):
+            with self.subTest(size=size):
+                await self._exchange_twice(answer, answer[:size])
+
+    async def _exchange_twice(self, first: bytes, second: bytes) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            for answer in (first, second):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        pool = gateway.create_server_pool(
+            base.create_clock(), f"127.0.0.1:{port}", 4
+        )
+        connection = await pool.acquire(1_000.0)
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        await connection.exchange(request, lambda _: True)
+        with self.assertRaises(gateway.LostAnswerError):
+            await connection.exchange(request, lambda _: True)
+        pool.release(connection)
+        pool.close()
+
 
 class ServerPoolTest(unittest.IsolatedAsyncioTestCase):
 
