Refuse requests that a stopping host cannot finish, and answer the last ones

It happens here, too: a host took requests until the end of its grace period and then closed their connections.

Cause: the drain had no notion of when it ends; nothing ended the requests that still ran. Requests that came between the drain's early end and the close of the listeners were also passed on.

What still runs at the end gets 504. New decisions in _stopplans, without a network.

The product's daemon refuses requests after the load balancer's reaction already; it was read, not changed.

--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -72,6 +72,7 @@
     NO_SERVER = "no-server"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate-limited"
+    STOPPING = "stopping"
     LOST = "lost"
     BAD_ANSWER = "bad-answer"
     LOW_COVERAGE = "low-coverage"
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -10,10 +10,12 @@
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _singlecalls
 from cowslipvalve_gateway import _splits
+from cowslipvalve_gateway import _stopplans
 
 _STARTUP_WAIT_MS = 200.0  # Most listings of the state take less time.
 # A starting host reads its state within this time.
 _STARTUP_RETRY_AFTER_MS = 500.0
+_STOPPING_RETRY_AFTER_MS = 0.0  # Another host takes the request at once.
 
 _logger = logging.getLogger(__name__)
 
@@ -25,12 +27,21 @@
         self._context = context
         self._splitter = _splits.create_splitter()
         self._known_version = 0
+        self._stop_plan: _stopplans.StopPlan | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether the state that serving requires is known."""
         return self._context.catalog.is_complete
 
+    def plan_stop(self, end_ms: float) -> None:
+        """Refuses requests from now on that would not end in time.
+
+        Args:
+          end_ms: When the last requests are ended, on the process's clock.
+        """
+        self._stop_plan = _stopplans.StopPlan(end_ms=end_ms)
+
     async def handle(self, request: _calls.CallerRequest) -> _calls.Outcome:
         """Returns the answer to a request, or a refusal if there is none."""
         catalog = self._context.catalog
@@ -71,6 +82,12 @@
         deadline_ms = min(
             request.deadline_ms, request.received_ms + route.timeout_ms
         )
+        plan = self._stop_plan
+        if plan is not None:
+            now_ms = self._context.clock.now_ms()
+            if not plan.has_time_for(route, now_ms, deadline_ms):
+                return _refuse_stopping()
+            deadline_ms = min(deadline_ms, plan.end_ms)
         if not route.is_fan_out:
             service = self._splitter.choose(route)
             return await _singlecalls.call_single(
@@ -121,6 +138,14 @@
         )
 
 
+def _refuse_stopping() -> _calls.Refusal:
+    return _calls.Refusal(
+        reason=_calls.RefusalReason.STOPPING,
+        is_not_run=True,
+        retry_after_ms=_STOPPING_RETRY_AFTER_MS,
+    )
+
+
 def _describe_outcome(outcome: _calls.Outcome) -> dict[str, object]:
     if isinstance(outcome, _calls.ServerAnswer):
         return {"outcome": "answered", "status": outcome.status}
