Answer the requests of the daemon that outlast its drain

Cause: as in the gateway, nothing ended the requests that still ran when the drain's time was over; closing the HTTP interface cut them. Ruled out: late requests, which the daemon refuses as not run after the balancer's wait.

Change: the drain ends them with 504 and an unknown outcome.

test_request_that_outlasts_the_drain_is_answered failed before (ServerDisconnectedError) and passes; test_draining 6 of 6.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -12,6 +12,8 @@
 from cowslipvalve_base._codec import encode_plain
 from cowslipvalve_base._codec import decode
 from cowslipvalve_base._codec import decode_plain
+from cowslipvalve_base._cutoffs import Cutoff
+from cowslipvalve_base._cutoffs import create_cutoff
 from cowslipvalve_base._errors import CowslipvalveError
 from cowslipvalve_base._errors import SettingsError
 from cowslipvalve_base._errors import InputError
@@ -19,6 +21,7 @@
 from cowslipvalve_base._errors import NotRunError
 from cowslipvalve_base._errors import UnknownOutcomeError
 from cowslipvalve_base._errors import CrashedError
+from cowslipvalve_base._errors import CutOffError
 from cowslipvalve_base._errors import PlatformError
 from cowslipvalve_base._errors import PlatformUnavailableError
 from cowslipvalve_base._errors import ConflictError
@@ -40,6 +43,8 @@
     "ConflictError",
     "CowslipvalveError",
     "CrashedError",
+    "CutOffError",
+    "Cutoff",
     "InputError",
     "NotFoundError",
     "NotRunError",
@@ -56,6 +61,7 @@
     "choose_name",
     "compute_fraction",
     "create_clock",
+    "create_cutoff",
     "decode",
     "decode_plain",
     "encode",
--- a/packages/base/cowslipvalve_base/_errors.py
+++ b/packages/base/cowslipvalve_base/_errors.py
@@ -52,6 +52,10 @@
     """The request may have run; it is retried only if it is idempotent."""
 
 
+class CutOffError(UnknownOutcomeError):
+    """This host ended the request because it stops; it may have run."""
+
+
 class CrashedError(UnknownOutcomeError):
     """The connection was lost while the server was running the request."""
 
--- a/packages/daemon/cowslipvalve_daemon/_callerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_callerapi.py
@@ -40,6 +40,7 @@
         self._coordinator = coordinator
         self._orders = orders
         self._metrics = metrics
+        self._cutoff = model.create_cutoff()
         self.running_requests = 0
         self.is_closed = False
 
@@ -53,6 +54,10 @@
         app.router.add_post("/v1/searches/{name}/orders", self._order)
         return app
 
+    def end_requests(self) -> None:
+        """Ends all requests in progress, which may have run, with an answer."""
+        self._cutoff.end_all()
+
     async def _query(self, request: web.Request) -> web.Response:
         async def run(request_id: str) -> Any:
             body = await _decode_body(request, model.SearchRequest)
@@ -85,7 +90,8 @@
         self.running_requests += 1
         try:
             self._check_admission()
-            answer = await run(request_id)
+            async with self._cutoff.apply():
+                answer = await run(request_id)
         except model.CowslipvalveError as error:
             answer = _create_failure(request_id, error)
         except web.HTTPRequestEntityTooLarge:
@@ -153,6 +159,8 @@
     outcome, reason = model.Outcome.NOT_RUN, model.Reason.BAD_REQUEST
     if isinstance(error, model.NotRunError):
         reason = error.reason
+    elif isinstance(error, model.CutOffError):
+        outcome, reason = model.Outcome.UNKNOWN, model.Reason.STOPPING
     elif not isinstance(error, model.RequestError):
         outcome, reason = model.Outcome.UNKNOWN, model.Reason.MISMATCH
     return model.ErrorAnswer(
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -112,7 +112,8 @@
         """Finishes running work and releases this host's homes.
 
         Requests are accepted until the load balancer has had time to see that
-        the host is not ready.
+        the host is not ready. Those that outlast the drain are answered, with
+        an unknown outcome.
         """
         components = self._components
         if components is None:
@@ -126,6 +127,7 @@
         components.caller_api.is_closed = True
         while self._clock.now_ms() < deadline_ms and self._is_busy(components):
             await self._clock.sleep_ms(_DRAIN_POLL_MS)
+        components.caller_api.end_requests()
         await self._clock.sleep_ms(_FINAL_ANSWERS_WAIT_MS)
         await components.heartbeats.push()
 
--- a/packages/daemon/cowslipvalve_daemon/tests/test_home_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_home_sessions.py
@@ -168,6 +168,43 @@
         log = deployment.log_path("kuopio-1").read_text()
         self.assertEqual(status, 0, log[-_LOG_TAIL_CHARS:])
 
+    async def test_request_that_outlasts_the_drain_is_answered(self) -> None:
+        limits = {"balancerWaitMs": 500, "drainMs": 1_500}
+        deployment = await self.start(limits=limits)
+        for _, shape in deployment.shape.servers:
+            faults: dict[str, Any] = {"straggle_ms": 6_000.0}
+            await deployment.put_server(shape.name, "/faults", faults)
+        calls = [
+            asyncio.ensure_future(call)
+            for call in (
+                deployment.query(
+                    "kuopio-1", self.search, "slow", deadlineMs=8_000
+                ),
+                deployment.post(
+                    "kuopio-1",
+                    "/v1/searches/orders/orders",
+                    {
+                        "order": {"id": "slow"},
+                        "ticket": await self._get_ticket(deployment),
+                        "deadlineMs": 8_000,
+                    },
+                ),
+            )
+        ]
+        await asyncio.sleep(0.3)
+        deployment.send_signal("kuopio-1", signal.SIGTERM)
+        for status, answer in await asyncio.gather(*calls):
+            self.assertEqual(status, 504, answer)
+            self.assertEqual(answer["outcome"], "unknown")
+        self.assertEqual(await deployment.wait_for_exit("kuopio-1"), 0)
+
+    async def _get_ticket(self, deployment: _deployments.Deployment) -> str:
+        status, ticket = await deployment.post(
+            "kuopio-1", "/v1/searches/orders/tickets", {}
+        )
+        self.assertEqual(status, 200, ticket)
+        return str(ticket["ticket"])
+
 
 class CutDomainTest(HomeTest):
     """A failure domain that is cut off still serves its own replicas.
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -35,6 +35,9 @@
 from cowslipvalve_base import NotRunError
 from cowslipvalve_base import UnknownOutcomeError
 from cowslipvalve_base import CrashedError
+from cowslipvalve_base import Cutoff
+from cowslipvalve_base import CutOffError
+from cowslipvalve_base import create_cutoff
 from cowslipvalve_base import PlatformError
 from cowslipvalve_base import PlatformUnavailableError
 from cowslipvalve_base import ConflictError
@@ -112,6 +115,8 @@
     "Coverage",
     "CowslipvalveError",
     "CrashedError",
+    "CutOffError",
+    "Cutoff",
     "VersionedRecord",
     "ErrorAnswer",
     "FailureDomain",
@@ -179,6 +184,7 @@
     "compute_full_delta",
     "compute_delta",
     "create_clock",
+    "create_cutoff",
     "decode",
     "decode_plain",
     "encode",
