Give shares of rate limits to registered hosts only

By reading: a host that could not register (store away, or turned away) counted itself among the sharers of a limit while the others did not, and a host that knew no hosts yet took a whole limit. Hosts that are added during an outage of the store could together exceed what a server states.

Change: a host that is not registered asks a holder for a permit for each request to such a server; one that knows no hosts assumes the default number.

test_hosts_that_are_not_registered_add_nothing (72 requests in 4 s where 65 are allowed) and test_hosts_that_know_no_hosts_send_little (72, 65) failed before.

--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -168,10 +168,14 @@
         """Applies the present share; returns whether this host has one."""
         limit = view.rate_limit
         holders = self._find_holders(view)
-        count = _limitshares.count_holders(
-            limit.requests_per_s, len(holders.ranked)
-        )
-        has_share = holders.own_index < count
+        if holders.ranked:
+            count = _limitshares.count_holders(
+                limit.requests_per_s, len(holders.ranked)
+            )
+            has_share = holders.own_index < count
+        else:
+            # The hosts are not known yet; there are probably some.
+            count, has_share = self._catalog.host_count, True
         limit.set_share(
             _limitshares.compute_share(limit.requests_per_s, count)
             if has_share
@@ -185,9 +189,14 @@
             self._holders = {}
         name = view.server.instance_id
         if name not in self._holders:
-            ranked = _limitshares.rank_holders(
-                self._catalog.find_askers(view.server.service), name
-            )
+            # A host that is not registered has no share, as the other hosts
+            # do not count it.
+            registered = [
+                host
+                for host in self._catalog.find_askers(view.server.service)
+                if host.name in self._catalog.hosts
+            ]
+            ranked = _limitshares.rank_holders(registered, name)
             names = [host.name for host in ranked]
             self._holders[name] = _Holders(
                 ranked,
--- a/packages/gateway/cowslipvalve_gateway/_limitshares.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitshares.py
@@ -76,7 +76,7 @@
     rate = max(requests_per_s, _MIN_REQUESTS_PER_S)
     return LimitShare(
         requests_per_s=rate / holders,
-        burst=_compute_burst(requests_per_s) / holders,
+        burst=max(1.0, _compute_burst(requests_per_s) / holders),
     )
 
 
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -41,11 +41,17 @@
 
 
 class _Hosts:
-    """Limiters of several hosts, which give permits without a network."""
+    """Limiters of several hosts, which give permits without a network.
 
-    def __init__(self, count: int) -> None:
+    The first hosts are registered, and all hosts know just these.
+    """
+
+    def __init__(self, count: int, registered: int | None = None) -> None:
         self.clock = _clocks.create_manual_clock()
         self.records = _create_hosts(count)
+        self.registered = _create_hosts(
+            count if registered is None else registered
+        )
         self.by_address = {
             r.state_address: name for name, r in self.records.items()
         }
@@ -65,7 +71,7 @@
         catalog.set_table(
             gateway.RoutingTable(version=1, routes=(), services={})
         )
-        catalog.set_hosts(self.records)
+        catalog.set_hosts(self.registered)
         catalog.put_server(_SERVER)
         self.catalogs[name] = catalog
         self.limiters[name] = gateway.create_limiter(
@@ -220,6 +226,19 @@
             sent += self._play(hosts, 1.0, 400.0, others[:3])
         self.assertLessEqual(len(sent), _compute_allowed(1.0))
 
+    def test_hosts_that_are_not_registered_add_nothing(self) -> None:
+        for registered in (1, 3, 8):
+            with self.subTest(registered=registered):
+                hosts = _Hosts(registered + 8, registered)
+                hosts.state_to_all(10.0)
+                self._play(hosts, 10.0, 8_000.0, list(hosts.records))
+
+    def test_hosts_that_know_no_hosts_send_little(self) -> None:
+        hosts = _Hosts(8, registered=0)
+        hosts.state_to_all(10.0)
+        sent = self._play(hosts, 10.0, 8_000.0, list(hosts.records))
+        self.assertGreater(len(sent), 0.5 * 10.0 * 8)
+
     def test_hedge_leaves_a_token_for_a_first_attempt(self) -> None:
         hosts = _Hosts(1)
         hosts.state("host-0", 1.0)
