--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Coroutine
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -239,6 +240,29 @@
         sent = self._play(hosts, 10.0, 8_000.0, list(hosts.records))
         self.assertGreater(len(sent), 0.5 * 10.0 * 8)
 
+    def test_server_that_registers_again_keeps_its_limit(self) -> None:
+        hosts = _Hosts(8)
+        hosts.state_to_all(10.0)
+        sent = self._play(hosts, 10.0, 2_000.0, list(hosts.records))
+        for name in hosts.records:
+            catalog = hosts.catalogs[name]
+            catalog.drop_server(_SERVER.instance_id, 0.0)
+            self.assertIsNone(catalog.find_server(_SERVER.instance_id))
+            catalog.put_server(_SERVER)
+            self.assertTrue(hosts.view(name).rate_limit.is_stated)
+            for _ in range(20):
+                if _run(hosts.try_send(name)):
+                    sent.append(hosts.clock.now_ms())
+        self._check_window(hosts, sent, 10.0)
+
+    def test_server_that_starts_again_has_no_limit(self) -> None:
+        hosts = _Hosts(1)
+        hosts.state("host-0", 1.0)
+        hosts.catalogs["host-0"].put_server(
+            attrs.evolve(_SERVER, started_ms=1)
+        )
+        self.assertFalse(hosts.view("host-0").rate_limit.is_stated)
+
     def test_hedge_leaves_a_token_for_a_first_attempt(self) -> None:
         hosts = _Hosts(1)
         hosts.state("host-0", 1.0)
