--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -258,9 +258,7 @@
     def test_server_that_starts_again_has_no_limit(self) -> None:
         hosts = _Hosts(1)
         hosts.state("host-0", 1.0)
-        hosts.catalogs["host-0"].put_server(
-            attrs.evolve(_SERVER, started_ms=1)
-        )
+        hosts.catalogs["host-0"].put_server(attrs.evolve(_SERVER, started_ms=1))
         self.assertFalse(hosts.view("host-0").rate_limit.is_stated)
 
     def test_hedge_leaves_a_token_for_a_first_attempt(self) -> None:
