Tell all hosts of a rate limit, and count added hosts once they are known

Servers got more than their limit from hosts that no answer had told yet: with slow answers each of 8 hosts sent several requests before its first one. And while the hosts' lists are not the same yet, a host that was added divided the limit with others that did not count it.

Change: who learns of a change from an answer tells the others in a binary tree (_limitnews); a host added less than 3 s ago, not registered or leaving has no share and asks for permits.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -55,15 +55,23 @@
 from cowslipvalve_gateway._pools import ServerPool
 from cowslipvalve_gateway._pools import create_server_pool
 from cowslipvalve_gateway._errors import RateLimitedError
+from cowslipvalve_gateway._limithandlers import LimitHandler
+from cowslipvalve_gateway._limithandlers import create_limit_handler
+from cowslipvalve_gateway._limitholders import HolderRanking
+from cowslipvalve_gateway._limitholders import create_holder_ranking
 from cowslipvalve_gateway._limiters import Admission
 from cowslipvalve_gateway._limiters import Limiter
 from cowslipvalve_gateway._limiters import create_limiter
+from cowslipvalve_gateway._limitnews import LimitNews
+from cowslipvalve_gateway._limitnews import create_limit_news
+from cowslipvalve_gateway._limitnotices import NOTICE_PATH
+from cowslipvalve_gateway._limitnotices import LimitNotice
+from cowslipvalve_gateway._limitnotices import NoticeClient
+from cowslipvalve_gateway._limitnotices import create_notice_client
 from cowslipvalve_gateway._limitshares import LimitShare
 from cowslipvalve_gateway._limitshares import compute_share
 from cowslipvalve_gateway._limitshares import count_holders
 from cowslipvalve_gateway._limitshares import rank_holders
-from cowslipvalve_gateway._permithandlers import PermitHandler
-from cowslipvalve_gateway._permithandlers import create_permit_handler
 from cowslipvalve_gateway._permits import PERMIT_PATH
 from cowslipvalve_gateway._permits import PermitClient
 from cowslipvalve_gateway._permits import PermitReply
@@ -119,50 +127,55 @@
     "GroupReport",
     "GroupRequest",
     "HistoryGoneError",
+    "HolderRanking",
     "HostClient",
     "HostHealth",
     "HostRecord",
     "HostUnavailableError",
-    "StateItem",
-    "StateKind",
-    "StateListing",
-    "LoopLag",
+    "LimitHandler",
+    "LimitNews",
+    "LimitNotice",
     "LimitShare",
     "Limiter",
+    "LoopLag",
     "LostAnswerError",
     "Measurements",
     "MergedAnswer",
     "MisdirectedError",
+    "NOTICE_PATH",
     "NO_LIMIT",
+    "NoticeClient",
     "Outcome",
-    "RECORD_BYTES",
-    "RawAnswer",
-    "Refusal",
-    "RefusalReason",
     "PERMIT_PATH",
     "PermitClient",
-    "PermitHandler",
     "PermitReply",
     "PermitRequest",
+    "RECORD_BYTES",
     "RateLimit",
     "RateLimitedError",
+    "RawAnswer",
+    "Refusal",
+    "RefusalReason",
     "RejectedError",
     "Route",
     "RoutingTable",
-    "ServerSelector",
     "Server",
     "ServerAnswer",
     "ServerClient",
     "ServerConnection",
     "ServerPool",
     "ServerProtocol",
+    "ServerSelector",
     "ServerState",
     "Service",
     "ShardGroup",
     "Share",
     "Splitter",
-    "StateHandler",
     "StateFollower",
+    "StateHandler",
+    "StateItem",
+    "StateKind",
+    "StateListing",
     "StateMessage",
     "StateReplica",
     "StateSources",
@@ -170,6 +183,8 @@
     "UnsentError",
     "VolumeFilter",
     "WatcherChoice",
+    "compute_share",
+    "count_holders",
     "create_answer_memory",
     "create_attempt_budget",
     "create_catalog",
@@ -178,22 +193,23 @@
     "create_group_client",
     "create_group_handler",
     "create_group_planner",
+    "create_holder_ranking",
     "create_host_client",
     "create_host_health",
+    "create_limit_handler",
+    "create_limit_news",
     "create_limiter",
     "create_loop_lag",
     "create_measurements",
-    "compute_share",
-    "count_holders",
+    "create_notice_client",
     "create_permit_client",
-    "create_permit_handler",
     "create_rate_limit",
-    "create_server_selector",
     "create_server_client",
     "create_server_pool",
+    "create_server_selector",
     "create_splitter",
-    "create_state_handler",
     "create_state_follower",
+    "create_state_handler",
     "create_state_replica",
     "create_watcher_choice",
     "merge_records",
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Collection
 
 import attrs
@@ -17,7 +18,7 @@
 # Used until the hosts are known; the size of the smallest deployments.
 _DEFAULT_HOST_COUNT = 8
 # The records of all hosts that start together are known after this time.
-_HOSTS_SETTLED_MS = 3_000.0
+HOSTS_SETTLED_MS = 3_000.0
 _MIN_CONNECTIONS = 2  # One for a request and one for a hedge.
 
 _logger = logging.getLogger(__name__)
@@ -42,6 +43,9 @@
       domains_out: The failure domains that receive no requests.
       hosts: The records of the deployment's hosts by name.
       has_servers: Whether a whole listing of the servers was received.
+      own_registered_ms: When this host was added to the hosts, on the process's
+        clock; -inf if it was one of them before its start, inf once it has
+        left them.
       shares_version: Increases whenever the hosts or the routes change.
       planner: Plans which hosts ask the shards of a fan-out; None if each
         host asks all of them.
@@ -71,6 +75,7 @@
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
         self.has_servers = False
+        self.own_registered_ms = -math.inf
         self.shares_version = 0
         self._completed = asyncio.Event()
 
@@ -290,7 +295,7 @@
             return True
         if service not in self._shards:
             return False
-        is_settled = self._clock.now_ms() - self._hosts_ms >= _HOSTS_SETTLED_MS
+        is_settled = self._clock.now_ms() - self._hosts_ms >= HOSTS_SETTLED_MS
         return is_settled and self.planner.is_asker(service)
 
     def min_connect_ms(self, domain: str) -> float:
@@ -304,7 +309,7 @@
                 for view in self._views.values()
                 if view.server.domain == domain
             ),
-            default=float("inf"),
+            default=math.inf,
         )
 
     def find_server(self, instance_id: str) -> _servers.ServerView | None:
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 
 import attrs
 import mode
@@ -77,6 +78,7 @@
 
     async def unregister(self) -> None:
         """Removes this host's record, which frees its share of the limits."""
+        self._replica.catalog.own_registered_ms = math.inf
         try:
             await self._sources.store.unregister_host(self._own.name)
         except base.PlatformError as error:
@@ -88,11 +90,16 @@
     async def _register(self) -> None:
         """Registers this host, so that the others count and can query it."""
         backoff_ms = _FIRST_BACKOFF_MS
+        is_new = False
         while not self.should_stop:
             try:
-                await self._sources.store.register_host(self._own)
+                is_new |= await self._sources.store.register_host(self._own)
+                if is_new:
+                    now_ms = self._clock.now_ms()
+                    self._replica.catalog.own_registered_ms = now_ms
                 return
             except base.PlatformError as error:
+                is_new = True  # The call may have taken effect.
                 base.log_event(
                     _logger, "register-failed", logging.WARNING, error=error
                 )
--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -5,12 +5,11 @@
 import math
 from collections.abc import Iterable
 
-import attrs
-
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _hosthealth
+from cowslipvalve_gateway import _limitholders
 from cowslipvalve_gateway import _limitshares
 from cowslipvalve_gateway import _permits
 from cowslipvalve_gateway import _ratelimits
@@ -41,15 +40,6 @@
     PERMIT_NEEDED = "permit-needed"
 
 
-@attrs.define
-class _Holders:
-    """The hosts that may have a share of a server's limit, in their order."""
-
-    ranked: tuple[_resources.HostRecord, ...]
-    # The place of this host in that order, len(ranked) if it is not in it.
-    own_index: int
-
-
 class Limiter:
     """Keeps this host's requests within its shares of the servers' limits.
 
@@ -61,18 +51,16 @@
         self,
         catalog: _catalogs.Catalog,
         clock: base.Clock,
-        own: _resources.HostRecord,
+        ranking: _limitholders.HolderRanking,
         permits: _permits.PermitClient,
         health: _hosthealth.HostHealth,
     ) -> None:
         self._catalog = catalog
         self._clock = clock
-        self._own = own
+        self._ranking = ranking
+        self._own = ranking.own
         self._permits = permits
         self._health = health
-        # By server; valid for one version of the hosts and routes.
-        self._holders: dict[str, _Holders] = {}
-        self._holders_version = -1
 
     def may_take(self, view: _servers.ServerView, is_hedge: bool) -> bool:
         """Whether a request may be sent to a server, or a permit asked for."""
@@ -167,12 +155,14 @@
     def _update_share(self, view: _servers.ServerView) -> bool:
         """Applies the present share; returns whether this host has one."""
         limit = view.rate_limit
-        holders = self._find_holders(view)
-        if holders.ranked:
+        ranked = self._ranking.rank(view.server)
+        if ranked.hosts:
             count = _limitshares.count_holders(
-                limit.requests_per_s, len(holders.ranked)
+                limit.requests_per_s, len(ranked.hosts)
+            )
+            has_share = ranked.own_index < count and (
+                self._ranking.is_own_known or len(ranked.hosts) == 1
             )
-            has_share = holders.own_index < count
         else:
             # The hosts are not known yet; there are probably some.
             count, has_share = self._catalog.host_count, True
@@ -183,29 +173,6 @@
         )
         return has_share
 
-    def _find_holders(self, view: _servers.ServerView) -> _Holders:
-        if self._holders_version != self._catalog.shares_version:
-            self._holders_version = self._catalog.shares_version
-            self._holders = {}
-        name = view.server.instance_id
-        if name not in self._holders:
-            # A host that is not registered has no share, as the other hosts
-            # do not count it.
-            registered = [
-                host
-                for host in self._catalog.find_askers(view.server.service)
-                if host.name in self._catalog.hosts
-            ]
-            ranked = _limitshares.rank_holders(registered, name)
-            names = [host.name for host in ranked]
-            self._holders[name] = _Holders(
-                ranked,
-                names.index(self._own.name)
-                if self._own.name in names
-                else len(names),
-            )
-        return self._holders[name]
-
     def _rank_for_asking(
         self, view: _servers.ServerView
     ) -> list[_resources.HostRecord]:
@@ -213,13 +180,13 @@
 
         The order of the rest depends on this host, which spreads the hosts.
         """
-        ranked = self._find_holders(view).ranked
+        hosts = self._ranking.rank(view.server).hosts
         count = _limitshares.count_holders(
-            view.rate_limit.requests_per_s, len(ranked)
+            view.rate_limit.requests_per_s, len(hosts)
         )
         holders = {
             host.name: host
-            for host in ranked[:count]
+            for host in hosts[:count]
             if host.name != self._own.name
             and not self._health.is_suspect(host.name)
         }
@@ -255,7 +222,7 @@
 def create_limiter(
     catalog: _catalogs.Catalog,
     clock: base.Clock,
-    own: _resources.HostRecord,
+    ranking: _limitholders.HolderRanking,
     permits: _permits.PermitClient,
     health: _hosthealth.HostHealth,
 ) -> Limiter:
@@ -264,8 +231,8 @@
     Args:
       catalog: The servers and the hosts.
       clock: The clock of the process.
-      own: The record of this host.
+      ranking: The hosts that ask a server.
       permits: Asks other hosts for permits.
       health: Which other hosts have failed recently.
     """
-    return Limiter(catalog, clock, own, permits, health)
+    return Limiter(catalog, clock, ranking, permits, health)
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_limithandlers.py
@@ -0,0 +1,70 @@
+"""Server side of messages about rate limits between hosts (HTTP, JSON)."""
+
+import logging
+
+from aiohttp import web
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _limiters
+from cowslipvalve_gateway import _limitnews
+from cowslipvalve_gateway import _limitnotices
+from cowslipvalve_gateway import _permits
+
+_HTTP_BAD_REQUEST = 400
+
+_logger = logging.getLogger(__name__)
+
+
+class LimitHandler:
+    """Answers other hosts that ask for permits or tell of limits."""
+
+    def __init__(
+        self, limiter: _limiters.Limiter, news: _limitnews.LimitNews
+    ) -> None:
+        self._limiter = limiter
+        self._news = news
+
+    async def handle_permit(self, request: web.BaseRequest) -> web.Response:
+        """Returns the reply to one request for a permit."""
+        try:
+            message = base.decode(_permits.PermitRequest, await request.read())
+        except base.InputError as error:
+            return _refuse(request, error)
+        return web.Response(
+            body=base.encode(self._limiter.answer(message)),
+            content_type="application/json",
+        )
+
+    async def handle_notice(self, request: web.BaseRequest) -> web.Response:
+        """Takes one notice."""
+        try:
+            notice = base.decode(
+                _limitnotices.LimitNotice, await request.read()
+            )
+        except base.InputError as error:
+            return _refuse(request, error)
+        self._news.receive(notice)
+        return web.Response()
+
+
+def _refuse(request: web.BaseRequest, error: base.InputError) -> web.Response:
+    base.log_event(
+        _logger,
+        "limit-message-malformed",
+        logging.WARNING,
+        path=request.path,
+        error=error,
+    )
+    return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
+
+
+def create_limit_handler(
+    limiter: _limiters.Limiter, news: _limitnews.LimitNews
+) -> LimitHandler:
+    """Creates the handler of other hosts' messages about rate limits.
+
+    Args:
+      limiter: Gives permits.
+      news: Takes notices.
+    """
+    return LimitHandler(limiter, news)
--- a/packages/gateway/cowslipvalve_gateway/_permits.py
+++ b/packages/gateway/cowslipvalve_gateway/_permits.py
@@ -4,11 +4,10 @@
 import attrs
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _bodies
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hostposts
 
 PERMIT_PATH = "/permit"
-_HTTP_OK = 200
 
 
 @attrs.frozen(kw_only=True)
@@ -54,30 +53,17 @@
         Raises:
           HostUnavailableError: The host did not return a valid reply.
         """
-        try:
-            async with self._session.post(
-                f"http://{address}{PERMIT_PATH}",
-                data=base.encode(request),
-                timeout=aiohttp.ClientTimeout(
-                    total=base.to_seconds(timeout_ms)
-                ),
-            ) as response:
-                body = await _bodies.read_body(response)
-            if response.status == _HTTP_OK:
-                return base.decode(PermitReply, body)
-            cause = f"status {response.status}"
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            OSError,
-            base.InputError,
-        ) as error:
-            cause = repr(error)
-        raise _errors.HostUnavailableError(
-            f"the host did not answer about a permit: {cause}",
-            step="ask-permit",
-            peer=address,
+        body = await _hostposts.post(
+            self._session, address, PERMIT_PATH, request, timeout_ms
         )
+        try:
+            return base.decode(PermitReply, body)
+        except base.InputError as error:
+            raise _errors.HostUnavailableError(
+                f"the host sent no valid permit: {error}",
+                step="ask-permit",
+                peer=address,
+            ) from error
 
 
 def create_permit_client(session: aiohttp.ClientSession) -> PermitClient:
--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -22,6 +22,7 @@
         hosts together, NO_LIMIT if it states none.
       stated_ms: When the server last stated it, on the process's clock.
       refused_until_ms: Until when other hosts have no token for this one.
+      announced_ms: When this host last told others of the limit.
     """
 
     def __init__(self, clock: base.Clock, server: str) -> None:
@@ -34,14 +35,15 @@
         self.requests_per_s = NO_LIMIT
         self.stated_ms = -math.inf
         self.refused_until_ms = -math.inf
+        self.announced_ms = -math.inf
 
     @property
     def is_stated(self) -> bool:
         """Whether the server states a limit."""
         return self.requests_per_s < NO_LIMIT
 
-    def record(self, requests_per_s: float, sent_ms: float) -> None:
-        """Records what an answer states.
+    def record(self, requests_per_s: float, sent_ms: float) -> bool:
+        """Records what an answer states; returns whether the limit changed.
 
         An answer without a limit ends an earlier one only if its request was
         sent after that was stated, as answers may overtake each other.
@@ -52,13 +54,20 @@
         """
         is_end = self.is_stated and requests_per_s == NO_LIMIT
         if is_end and sent_ms <= self.stated_ms:
-            return
-        self._replace(requests_per_s, self._clock.now_ms(), math.inf)
+            return False
+        return self._replace(requests_per_s, self._clock.now_ms(), math.inf)
+
+    def learn(self, requests_per_s: float, stated_ms: float) -> bool:
+        """Takes a change that another host knows; returns whether it is one."""
+        if stated_ms <= self.stated_ms:
+            return False
+        return self._replace(requests_per_s, stated_ms, math.inf)
 
     def adopt(self, requests_per_s: float, stated_ms: float) -> None:
-        """Takes what another host knows, if that is newer.
+        """Takes what another host knows about a permit, if that is newer.
 
-        The hosts together may have used all of a limit that is new to this one.
+        If the limit is new to this host, it has just started, and may have
+        used all of its share before.
         """
         if stated_ms > self.stated_ms:
             self._replace(requests_per_s, stated_ms, 0.0)
@@ -93,7 +102,7 @@
 
     def _replace(
         self, requests_per_s: float, stated_ms: float, first_tokens: float
-    ) -> None:
+    ) -> bool:
         old = self.requests_per_s
         self.requests_per_s = requests_per_s
         self.stated_ms = stated_ms
@@ -110,6 +119,7 @@
                 old=old,
                 requests_per_s=requests_per_s,
             )
+        return requests_per_s != old
 
 
 def create_rate_limit(clock: base.Clock, server: str) -> RateLimit:
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -50,9 +50,15 @@
 class ServerClient:
     """Sends requests to servers over pooled connections."""
 
-    def __init__(self, protocol: ServerProtocol, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        protocol: ServerProtocol,
+        clock: base.Clock,
+        on_limit_changed: Callable[[_servers.ServerView], None],
+    ) -> None:
         self._protocol = protocol
         self._clock = clock
+        self._on_limit_changed = on_limit_changed
 
     async def call(
         self,
@@ -93,8 +99,10 @@
             )
             connection.idle_timeout_s = self._protocol.idle_timeout_s(answer)
             rate_limit = self._protocol.rate_limit(answer)
-            if rate_limit is not None:
-                view.rate_limit.record(rate_limit, sent_ms)
+            if rate_limit is not None and view.rate_limit.record(
+                rate_limit, sent_ms
+            ):
+                self._on_limit_changed(view)
         except BaseException:
             # The server drops a cancelled request when its connection
             # closes.
@@ -107,7 +115,15 @@
 
 
 def create_server_client(
-    protocol: ServerProtocol, clock: base.Clock
+    protocol: ServerProtocol,
+    clock: base.Clock,
+    on_limit_changed: Callable[[_servers.ServerView], None],
 ) -> ServerClient:
-    """Creates the client for all servers."""
-    return ServerClient(protocol, clock)
+    """Creates the client for all servers.
+
+    Args:
+      protocol: How servers are spoken to.
+      clock: The clock of the process.
+      on_limit_changed: Called when an answer changes a server's rate limit.
+    """
+    return ServerClient(protocol, clock, on_limit_changed)
--- a/packages/gateway/cowslipvalve_gateway/_stores.py
+++ b/packages/gateway/cowslipvalve_gateway/_stores.py
@@ -63,8 +63,8 @@
     async def probe(self, timeout_ms: float) -> None:
         """Checks that the store answers, at a tenth of another call's cost."""
 
-    async def register_host(self, record: _resources.HostRecord) -> None:
-        """Adds the record of this host to the hosts of the deployment."""
+    async def register_host(self, record: _resources.HostRecord) -> bool:
+        """Adds the record of this host; returns whether there was none."""
 
     async def unregister_host(self, name: str) -> None:
         """Removes the record of this host."""
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -78,7 +78,9 @@
         self.limiters[name] = gateway.create_limiter(
             catalog,
             self.clock,
-            self.records[name],
+            gateway.create_holder_ranking(
+                catalog, self.clock, self.records[name]
+            ),
             self,  # type: ignore[arg-type]
             gateway.create_host_health(self.clock),
         )
@@ -234,6 +236,14 @@
                 hosts.state_to_all(10.0)
                 self._play(hosts, 10.0, 8_000.0, list(hosts.records))
 
+    def test_added_host_has_no_share_before_others_know_it(self) -> None:
+        hosts = _Hosts(8)
+        hosts.state_to_all(10.0)
+        hosts.catalogs["host-7"].own_registered_ms = hosts.clock.now_ms()
+        self.assertFalse(self._has_share(hosts, "host-7"))
+        hosts.clock.advance(3_000.0)
+        self.assertTrue(self._has_share(hosts, "host-7"))
+
     def test_hosts_that_know_no_hosts_send_little(self) -> None:
         hosts = _Hosts(8, registered=0)
         hosts.state_to_all(10.0)
