Refuse shared fan-outs at once while other hosts may not ask their shards

In a large fan-out the host that got the request does not ask the shards itself and did not know that their servers' rate limits were used up: each request was sent to all other shards, used their tokens and ended with 502.

Change: a report says for each failed shard how long its limits are used up; the host remembers it (_shardwaits), and refuses a fan-out that would lack too many shards at once as not run, with the time to come back.

test_fan_out_is_refused_while_another_host_may_not_ask_shards failed before (502 in place of 503) and passes; test_groups 15 of 15.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -97,6 +97,8 @@
 from cowslipvalve_gateway._serverclients import ServerClient
 from cowslipvalve_gateway._serverclients import create_server_client
 from cowslipvalve_gateway._callcontexts import CallContext
+from cowslipvalve_gateway._shardwaits import ShardWaits
+from cowslipvalve_gateway._shardwaits import create_shard_waits
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
 from cowslipvalve_gateway._stores import StateKind
@@ -169,6 +171,7 @@
     "ServerState",
     "Service",
     "ShardGroup",
+    "ShardWaits",
     "Share",
     "Splitter",
     "StateFollower",
@@ -207,6 +210,7 @@
     "create_server_client",
     "create_server_pool",
     "create_server_selector",
+    "create_shard_waits",
     "create_splitter",
     "create_state_follower",
     "create_state_handler",
--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -12,6 +12,7 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _servers
 
 _logger = logging.getLogger(__name__)
 
@@ -28,8 +29,9 @@
     for service in route.shards:
         views = context.selector.find_usable(route, service)
         usable += bool(views)
-        if views and context.limiter.is_exhausted(views):
-            waits_ms.append(context.limiter.compute_wait_ms(views))
+        wait_ms = _compute_wait_ms(context, route, service, views)
+        if views and wait_ms > 0.0:
+            waits_ms.append(wait_ms)
     available = usable - len(waits_ms)
     if route.meets_coverage(available):
         return None
@@ -53,3 +55,18 @@
     return _refusals.create_refusal(
         _calls.RefusalReason.RATE_LIMITED, False, wait_ms
     )
+
+
+def _compute_wait_ms(
+    context: _callcontexts.CallContext,
+    route: _resources.Route,
+    service: str,
+    views: list[_servers.ServerView],
+) -> float:
+    """Returns for how many ms the servers of a shard take no request."""
+    if context.limiter.is_exhausted(views):
+        return context.limiter.compute_wait_ms(views)
+    planner = context.catalog.planner
+    if planner is None or not planner.find_groups(route.shards):
+        return 0.0
+    return context.shard_waits.find_wait_ms(service)
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -13,6 +13,7 @@
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
+from cowslipvalve_gateway import _shardwaits
 
 
 @attrs.define(kw_only=True)
@@ -39,6 +40,8 @@
     groups: _groupclients.GroupClient
     # Which other hosts have failed recently.
     host_health: _hosthealth.HostHealth
+    # Which shards other hosts may not ask for now.
+    shard_waits: _shardwaits.ShardWaits
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -195,6 +195,10 @@
             )
         if report.failed:
             self._listener.add_failed(report.failed)
+            for shard, wait_ms in zip(
+                report.failed, report.waits_ms, strict=False
+            ):
+                self._context.shard_waits.record(shard, wait_ms)
         # This host may know servers that the other one does not know yet.
         self._ask_directly(report.unknown, False)
 
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -34,7 +34,9 @@
         self._deadline_ms = request.deadline_ms
         self._changed = asyncio.Event()
         self._answered: list[_servicecalls.ServiceCall] = []
-        self._failed: list[str] = []
+        # The shards that failed, with the time until their servers' rate
+        # limits allow a request.
+        self._failed: dict[str, float] = {}
         self._unknown = [
             service
             for service in message.route.shards
@@ -122,7 +124,7 @@
         for call in self._calls:
             if not call.is_settled:
                 call.abandon()
-                self._failed.append(call.service)
+                self._failed[call.service] = call.wait_ms
         self._unsettled = 0
 
     def _take_report(self) -> _groupmessages.GroupReport:
@@ -139,9 +141,10 @@
             proofs=tuple(answer.proof for _, answer in answers),
             records=base64.b64encode(records).decode(),
             failed=tuple(self._failed),
+            waits_ms=tuple(self._failed.values()),
             unknown=tuple(self._unknown),
         )
-        self._answered, self._failed, self._unknown = [], [], []
+        self._answered, self._failed, self._unknown = [], {}, []
         return report
 
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
@@ -149,7 +152,7 @@
         if call.answer is not None and call.answer.is_success:
             self._answered.append(call)
         else:
-            self._failed.append(call.service)
+            self._failed[call.service] = call.wait_ms
         self._changed.set()
 
 
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -76,6 +76,9 @@
     records: str = ""
     # The shards that will have no part.
     failed: tuple[str, ...] = ()
+    # For each of them, for how many ms the rate limits of its servers are used
+    # up; 0 if it failed for another reason.
+    waits_ms: tuple[float, ...] = ()
     # The shards of which the host knows no server; nothing was sent.
     unknown: tuple[str, ...] = ()
 
