Let busy hosts use the shares of idle ones by permits

Callers of one host were refused (503, rate limited) while the servers would have taken their requests: the limit is divided equally, and a host that had used its share up did not ask for the tokens of hosts with less traffic.

Change: a host that has no token asks two other holders at most for a permit, near ones first, and leaves those that refuse in peace until they have a token. A server with a token of one's own comes first. Tokens are never borrowed beyond a share, so the sum over all hosts is as before. Hedges ask for no permit.

Ruled out: shares by measured traffic, which need messages and overlap while they change.

test_busy_host_uses_shares_of_idle_hosts failed before (26 requests in 20 s where the server takes 200; 7 of 40; 8 of 20; 18 of 800) and passes. test_added_host_has_no_share_before_others_know_it: an added host's bucket is empty when its share begins; admit used to take a token that was not there and now asks for a permit, so the test checks for the share once a token is due (4.0 s), and that there is none at 3.0 s.

--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -1,9 +1,10 @@
 """Decides whether this host may send a request to a server with a limit."""
 
 import enum
+import itertools
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
@@ -25,7 +26,9 @@
 # A host that no holder answers tries again after about as long as it takes to
 # notice that a host is gone.
 _UNREACHABLE_RETRY_MS = 1_000.0
-_MIN_REFUSED_MS = 50.0  # A round trip, if the asked host has no share.
+_MIN_REFUSED_MS = 50.0  # A round trip.
+# A host without a share may have seen a change of the hosts before others.
+_NO_SHARE_RETRY_MS = 1_000.0
 
 _logger = logging.getLogger(__name__)
 
@@ -43,8 +46,8 @@
 class Limiter:
     """Keeps this host's requests within its shares of the servers' limits.
 
-    A host without a share of a limit asks one that has a share for each
-    request.
+    A host that has no share of a limit, or has used it up, asks others that
+    have a share for a permit for each request.
     """
 
     def __init__(
@@ -58,18 +61,22 @@
         self._catalog = catalog
         self._clock = clock
         self._ranking = ranking
-        self._own = ranking.own
         self._permits = permits
         self._health = health
 
     def may_take(self, view: _servers.ServerView, is_hedge: bool) -> bool:
         """Whether a request may be sent to a server, or a permit asked for."""
+        if self.has_token(view, is_hedge):
+            return True
+        return not is_hedge and any(self._find_lenders(view))
+
+    def has_token(self, view: _servers.ServerView, is_hedge: bool) -> bool:
+        """Whether a request may be sent to a server without a permit."""
         limit = view.rate_limit
         if not limit.is_stated:
             return True
-        if self._update_share(view):
-            return limit.has_tokens(_HEDGE_TOKENS if is_hedge else 1.0)
-        return not is_hedge and self._clock.now_ms() >= limit.refused_until_ms
+        tokens = _HEDGE_TOKENS if is_hedge else 1.0
+        return self._update_share(view) and limit.has_tokens(tokens)
 
     def admit(self, view: _servers.ServerView) -> Admission:
         """Takes a token for one request, if the server has a limit.
@@ -78,7 +85,7 @@
         """
         if not view.rate_limit.is_stated:
             return Admission.UNLIMITED
-        if not self._update_share(view):
+        if not self.has_token(view, False):
             return Admission.PERMIT_NEEDED
         view.rate_limit.take()
         return Admission.TOKEN_TAKEN
@@ -90,12 +97,15 @@
           RateLimitedError: No host gave a permit.
         """
         limit = view.rate_limit
-        wait_ms = math.inf
-        for host in self._rank_for_asking(view)[:_MAX_HOLDERS_ASKED]:
+        lenders = list(
+            itertools.islice(self._find_lenders(view), _MAX_HOLDERS_ASKED)
+        )
+        for host in lenders:
             if not limit.is_stated:
                 return
             reply = await self._ask(host, view)
             if reply is None:
+                limit.record_refusal(host.name, _UNREACHABLE_RETRY_MS)
                 continue
             limit.adopt(
                 _ratelimits.NO_LIMIT
@@ -105,13 +115,9 @@
             )
             if reply.is_granted:
                 return
-            wait_ms = min(wait_ms, reply.wait_ms)
-        if not math.isfinite(wait_ms):
-            wait_ms = _UNREACHABLE_RETRY_MS
-        wait_ms = max(wait_ms, _MIN_REFUSED_MS)
-        limit.refused_until_ms = self._clock.now_ms() + wait_ms
+            limit.record_refusal(host.name, max(reply.wait_ms, _MIN_REFUSED_MS))
         raise _errors.RateLimitedError(
-            f"no host has a permit for the next {wait_ms:.0f} ms",
+            f"{len(lenders)} hosts have no permit now",
             step="ask-permit",
             peer=view.server.instance_id,
         )
@@ -135,9 +141,10 @@
             is_granted = limit.has_tokens(1.0)
             if is_granted:
                 limit.take()
+        wait_ms = limit.compute_token_wait_ms()
         return _permits.PermitReply(
             is_granted=is_granted,
-            wait_ms=limit.compute_wait_ms(),
+            wait_ms=wait_ms if math.isfinite(wait_ms) else _NO_SHARE_RETRY_MS,
             requests_per_s=limit.requests_per_s if limit.is_stated else None,
             age_ms=self._clock.now_ms() - limit.stated_ms,
         )
@@ -148,9 +155,18 @@
 
     def compute_wait_ms(self, views: Iterable[_servers.ServerView]) -> float:
         """Returns after how many ms the first of some servers may be asked."""
-        return min(
-            (view.rate_limit.compute_wait_ms() for view in views), default=0.0
-        )
+        return min((self._compute_wait_ms(view) for view in views), default=0.0)
+
+    def _compute_wait_ms(self, view: _servers.ServerView) -> float:
+        if self.may_take(view, False):
+            return 0.0
+        waits_ms = [
+            view.rate_limit.compute_refusal_ms(host.name) or math.inf
+            for host in self._find_holders(view)
+        ]
+        waits_ms.append(view.rate_limit.compute_token_wait_ms())
+        wait_ms = min(waits_ms)
+        return wait_ms if math.isfinite(wait_ms) else _UNREACHABLE_RETRY_MS
 
     def _update_share(self, view: _servers.ServerView) -> bool:
         """Applies the present share; returns whether this host has one."""
@@ -173,27 +189,26 @@
         )
         return has_share
 
-    def _rank_for_asking(
+    def _find_lenders(
         self, view: _servers.ServerView
-    ) -> list[_resources.HostRecord]:
-        """Returns the holders, those of this host's domain first.
+    ) -> Iterator[_resources.HostRecord]:
+        """Returns the other holders that may have a token, near ones first."""
+        return (
+            host
+            for host in self._find_holders(view)
+            if not view.rate_limit.compute_refusal_ms(host.name)
+            and not self._health.is_suspect(host.name)
+        )
 
-        The order of the rest depends on this host, which spreads the hosts.
-        """
-        hosts = self._ranking.rank(view.server).hosts
+    def _find_holders(
+        self, view: _servers.ServerView
+    ) -> Iterator[_resources.HostRecord]:
+        ranked = self._ranking.rank(view.server)
         count = _limitshares.count_holders(
-            view.rate_limit.requests_per_s, len(hosts)
+            view.rate_limit.requests_per_s, len(ranked.hosts)
         )
-        holders = {
-            host.name: host
-            for host in hosts[:count]
-            if host.name != self._own.name
-            and not self._health.is_suspect(host.name)
-        }
-        order = base.rank_names(holders, self._own.name)
-        return sorted(
-            (holders[name] for name in order),
-            key=lambda host: host.domain != self._own.domain,
+        return (
+            ranked.hosts[index] for index in ranked.near_first if index < count
         )
 
     async def _ask(
--- a/packages/gateway/cowslipvalve_gateway/_limitholders.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitholders.py
@@ -15,6 +15,9 @@
     hosts: tuple[_resources.HostRecord, ...]
     # The place of this host in that order, len(hosts) if it is not in it.
     own_index: int
+    # The places of the other hosts, those of this host's domain first. The
+    # order of the rest depends on this host, which spreads the hosts' permits.
+    near_first: tuple[int, ...]
 
 
 class HolderRanking:
@@ -62,11 +65,14 @@
             if host.name in self._catalog.hosts
         ]
         hosts = _limitshares.rank_holders(registered, server.instance_id)
-        names = [host.name for host in hosts]
-        is_ranked = self.own.name in names
+        indexes = {host.name: index for index, host in enumerate(hosts)}
+        own_index = indexes.pop(self.own.name, len(hosts))
+        near_first = sorted(
+            map(indexes.__getitem__, base.rank_names(indexes, self.own.name)),
+            key=lambda index: hosts[index].domain != self.own.domain,
+        )
         return RankedHosts(
-            hosts=hosts,
-            own_index=names.index(self.own.name) if is_ranked else len(names),
+            hosts=hosts, own_index=own_index, near_first=tuple(near_first)
         )
 
 
--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -21,7 +21,6 @@
       requests_per_s: The requests per second that the server takes from all
         hosts together, NO_LIMIT if it states none.
       stated_ms: When the server last stated it, on the process's clock.
-      refused_until_ms: Until when other hosts have no token for this one.
       announced_ms: When this host last told others of the limit.
     """
 
@@ -34,7 +33,8 @@
         self._was_ever_stated = False
         self.requests_per_s = NO_LIMIT
         self.stated_ms = -math.inf
-        self.refused_until_ms = -math.inf
+        # Until when other hosts have no token for this one, by host.
+        self._refused_until_ms: dict[str, float] = {}
         self.announced_ms = -math.inf
 
     @property
@@ -93,19 +93,30 @@
         """Returns the token of a request that was not sent."""
         self._tokens += 1.0
 
-    def compute_wait_ms(self) -> float:
-        """Returns for how long this host may send nothing to the server."""
+    def compute_token_wait_ms(self) -> float:
+        """Returns when this host's share has a token, infinite without one."""
         if not self._share.requests_per_s:
-            return max(0.0, self.refused_until_ms - self._clock.now_ms())
+            return math.inf
         lacking = max(0.0, 1.0 - self._tokens)
         return lacking / self._share.requests_per_s * _MS_PER_S
 
+    def record_refusal(self, host: str, wait_ms: float) -> None:
+        """Records that another host has no token for this one for a while."""
+        self._refused_until_ms[host] = self._clock.now_ms() + wait_ms
+
+    def compute_refusal_ms(self, host: str) -> float:
+        """Returns for how long another host has no token, 0 if unknown."""
+        until_ms = self._refused_until_ms.get(host, -math.inf)
+        return max(0.0, until_ms - self._clock.now_ms())
+
     def _replace(
         self, requests_per_s: float, stated_ms: float, first_tokens: float
     ) -> bool:
         old = self.requests_per_s
         self.requests_per_s = requests_per_s
         self.stated_ms = stated_ms
+        if requests_per_s != old:
+            self._refused_until_ms = {}
         if self.is_stated and not self._was_ever_stated:
             # The next set_share reduces it to the share's burst.
             self._was_ever_stated = True
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -81,7 +81,11 @@
         ]
         if not views:
             return None
-        return min(views, key=lambda view: self._compute_cost_ms(view, route))
+        # A permit of another host takes a round trip, or may be refused.
+        ready = [v for v in views if self._limiter.has_token(v, is_hedge)]
+        return min(
+            ready or views, key=lambda view: self._compute_cost_ms(view, route)
+        )
 
     def has_paced(
         self,
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -197,6 +197,14 @@
                 sent = self._play(hosts, limit, 20_000.0, list(hosts.records))
                 self.assertGreater(len(sent), 0.9 * limit * 20)
 
+    def test_busy_host_uses_shares_of_idle_hosts(self) -> None:
+        for count, limit in ((8, 10.0), (8, 2.0), (75, 1.0), (75, 40.0)):
+            with self.subTest(hosts=count, limit=limit):
+                hosts = _Hosts(count)
+                hosts.state_to_all(limit)
+                sent = self._play(hosts, limit, 20_000.0, ["host-0"])
+                self.assertGreater(len(sent), 0.8 * limit * 20)
+
     def test_host_without_a_share_sends_with_permits(self) -> None:
         hosts = _Hosts(75)
         hosts.state_to_all(1.0)
@@ -242,6 +250,8 @@
         hosts.catalogs["host-7"].own_registered_ms = hosts.clock.now_ms()
         self.assertFalse(self._has_share(hosts, "host-7"))
         hosts.clock.advance(3_000.0)
+        self.assertFalse(self._has_share(hosts, "host-7"))
+        hosts.clock.advance(1_000.0)  # A token of 10/s for 8 hosts.
         self.assertTrue(self._has_share(hosts, "host-7"))
 
     def test_hosts_that_know_no_hosts_send_little(self) -> None:
