Ask for the permits of one server a request, for 150 ms at most

Ruled out: the servers (nothing was sent), the retry budget, waits for cold servers (the lines attempt-failed of one request name each server in turn).

Change: a request asks for permits of one server, for 150 ms with both questions; a host that refuses is left alone for longer each time, up to 2 s, and no longer suspected. choose takes servers with a token first, and only then ones with a lender.

--- a/packages/gateway/cowslipvalve_gateway/_attempts.py
+++ b/packages/gateway/cowslipvalve_gateway/_attempts.py
@@ -15,6 +15,14 @@
     # The server that the other host asked first, empty if it is unknown.
     server: str
 
+    def find_excluded(
+        self, usable: list[_servers.ServerView], max_attempts: int
+    ) -> list[_servers.ServerView]:
+        """Returns the servers to leave out, to keep to the route's attempts."""
+        if len(usable) <= max_attempts:
+            return []
+        return [v for v in usable if v.server.instance_id != self.server]
+
 
 @attrs.define(kw_only=True, eq=False)
 class Attempt:
--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -21,12 +21,12 @@
 _HEDGE_TOKENS = 2.0
 # If a holder has no token, another may have; more would cost the caller time.
 _MAX_HOLDERS_ASKED = 2
-# The longest round trip between regions, and a busy host.
-_PERMIT_TIMEOUT_MS = 100.0
+# How long a caller waits for permits at most: a round trip between regions over
+# a new connection, and a busy host.
+_MAX_ASKING_MS = 150.0
 # A host that no holder answers tries again after about as long as it takes to
 # notice that a host is gone.
 _UNREACHABLE_RETRY_MS = 1_000.0
-_MIN_REFUSED_MS = 50.0  # A round trip.
 # A host without a share may have seen a change of the hosts before others.
 _NO_SHARE_RETRY_MS = 1_000.0
 
@@ -64,12 +64,6 @@
         self._permits = permits
         self._health = health
 
-    def may_take(self, view: _servers.ServerView, is_hedge: bool) -> bool:
-        """Whether a request may be sent to a server, or a permit asked for."""
-        if self.has_token(view, is_hedge):
-            return True
-        return not is_hedge and any(self._find_lenders(view))
-
     def has_token(self, view: _servers.ServerView, is_hedge: bool) -> bool:
         """Whether a request may be sent to a server without a permit."""
         limit = view.rate_limit
@@ -78,10 +72,14 @@
         tokens = _HEDGE_TOKENS if is_hedge else 1.0
         return self._update_share(view) and limit.has_tokens(tokens)
 
+    def has_lender(self, view: _servers.ServerView) -> bool:
+        """Whether another host may have a permit for a server."""
+        return any(self._find_lenders(view))
+
     def admit(self, view: _servers.ServerView) -> Admission:
         """Takes a token for one request, if the server has a limit.
 
-        Only to be called if may_take returned true.
+        Only to be called if there is a token or a lender.
         """
         if not view.rate_limit.is_stated:
             return Admission.UNLIMITED
@@ -100,12 +98,13 @@
         lenders = list(
             itertools.islice(self._find_lenders(view), _MAX_HOLDERS_ASKED)
         )
+        until_ms = self._clock.now_ms() + _MAX_ASKING_MS
         for host in lenders:
             if not limit.is_stated:
                 return
-            reply = await self._ask(host, view)
+            reply = await self._ask(host, view, until_ms)
             if reply is None:
-                limit.record_refusal(host.name, _UNREACHABLE_RETRY_MS)
+                limit.lenders.record_failure(host.name, _UNREACHABLE_RETRY_MS)
                 continue
             limit.adopt(
                 _ratelimits.NO_LIMIT
@@ -114,10 +113,11 @@
                 self._clock.now_ms() - reply.age_ms,
             )
             if reply.is_granted:
+                limit.lenders.record_success(host.name)
                 return
-            limit.record_refusal(host.name, max(reply.wait_ms, _MIN_REFUSED_MS))
+            limit.lenders.record_failure(host.name, reply.wait_ms)
         raise _errors.RateLimitedError(
-            f"{len(lenders)} hosts have no permit now",
+            f"no permit from any of {len(lenders)} hosts",
             step="ask-permit",
             peer=view.server.instance_id,
         )
@@ -151,17 +151,20 @@
 
     def is_exhausted(self, views: Iterable[_servers.ServerView]) -> bool:
         """Whether none of some servers may be sent a request now."""
-        return not any(self.may_take(view, False) for view in views)
+        return not any(
+            self.has_token(view, False) or self.has_lender(view)
+            for view in views
+        )
 
     def compute_wait_ms(self, views: Iterable[_servers.ServerView]) -> float:
         """Returns after how many ms the first of some servers may be asked."""
         return min((self._compute_wait_ms(view) for view in views), default=0.0)
 
     def _compute_wait_ms(self, view: _servers.ServerView) -> float:
-        if self.may_take(view, False):
+        if not self.is_exhausted((view,)):
             return 0.0
         waits_ms = [
-            view.rate_limit.compute_refusal_ms(host.name) or math.inf
+            view.rate_limit.lenders.compute_wait_ms(host.name) or math.inf
             for host in self._find_holders(view)
         ]
         waits_ms.append(view.rate_limit.compute_token_wait_ms())
@@ -196,7 +199,7 @@
         return (
             host
             for host in self._find_holders(view)
-            if not view.rate_limit.compute_refusal_ms(host.name)
+            if not view.rate_limit.lenders.is_suspect(host.name)
             and not self._health.is_suspect(host.name)
         )
 
@@ -212,8 +215,12 @@
         )
 
     async def _ask(
-        self, host: _resources.HostRecord, view: _servers.ServerView
+        self,
+        host: _resources.HostRecord,
+        view: _servers.ServerView,
+        until_ms: float,
     ) -> _permits.PermitReply | None:
+        """Returns the reply of a host, None if it does not come in time."""
         limit = view.rate_limit
         request = _permits.PermitRequest(
             server=view.server.instance_id,
@@ -221,17 +228,14 @@
             age_ms=self._clock.now_ms() - limit.stated_ms,
         )
         try:
-            reply = await self._permits.ask(
-                host.state_address, request, _PERMIT_TIMEOUT_MS
+            return await self._permits.ask(
+                host.state_address, request, until_ms - self._clock.now_ms()
             )
         except _errors.HostUnavailableError as error:
-            self._health.record_failure(host.name)
             base.log_event(
                 _logger, "permit-failed", logging.WARNING, error=error
             )
             return None
-        self._health.record_success(host.name)
-        return reply
 
 
 def create_limiter(
--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -4,10 +4,15 @@
 import math
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _limitshares
 
 NO_LIMIT = math.inf
 _MS_PER_S = 1_000.0
+# If all hosts have much traffic, they use their tokens themselves, and asking
+# them only costs time; if one has little again, it is found after the pause.
+_FIRST_REFUSAL_MS = 50.0
+_MAX_REFUSAL_MS = 2_000.0
 
 _logger = logging.getLogger(__name__)
 
@@ -21,6 +26,7 @@
       requests_per_s: The requests per second that the server takes from all
         hosts together, NO_LIMIT if it states none.
       stated_ms: When the server last stated it, on the process's clock.
+      lenders: Which other hosts have recently had no token for this one.
       announced_ms: When this host last told others of the limit.
     """
 
@@ -33,8 +39,7 @@
         self._was_ever_stated = False
         self.requests_per_s = NO_LIMIT
         self.stated_ms = -math.inf
-        # Until when other hosts have no token for this one, by host.
-        self._refused_until_ms: dict[str, float] = {}
+        self.lenders = self._create_lenders()
         self.announced_ms = -math.inf
 
     @property
@@ -100,14 +105,10 @@
         lacking = max(0.0, 1.0 - self._tokens)
         return lacking / self._share.requests_per_s * _MS_PER_S
 
-    def record_refusal(self, host: str, wait_ms: float) -> None:
-        """Records that another host has no token for this one for a while."""
-        self._refused_until_ms[host] = self._clock.now_ms() + wait_ms
-
-    def compute_refusal_ms(self, host: str) -> float:
-        """Returns for how long another host has no token, 0 if unknown."""
-        until_ms = self._refused_until_ms.get(host, -math.inf)
-        return max(0.0, until_ms - self._clock.now_ms())
+    def _create_lenders(self) -> _hosthealth.HostHealth:
+        return _hosthealth.create_host_health(
+            self._clock, _FIRST_REFUSAL_MS, _MAX_REFUSAL_MS
+        )
 
     def _replace(
         self, requests_per_s: float, stated_ms: float, first_tokens: float
@@ -116,7 +117,7 @@
         self.requests_per_s = requests_per_s
         self.stated_ms = stated_ms
         if requests_per_s != old:
-            self._refused_until_ms = {}
+            self.lenders = self._create_lenders()
         if self.is_stated and not self._was_ever_stated:
             # The next set_share reduces it to the share's burst.
             self._was_ever_stated = True
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -65,26 +65,27 @@
         service: str,
         excluded: Collection[_servers.ServerView],
         is_hedge: bool = False,
+        may_ask_permit: bool = False,
     ) -> _servers.ServerView | None:
         """Returns the usable server with the least expected latency, if any.
 
         A server that has had its share of requests for now, because it is cold
-        or states a limit, is left out.
+        or states a limit, is left out. If all others are, too, and a permit of
+        another host may be asked for, one is chosen that needs a permit.
         """
         cold_rate = self._catalog.cold_rate(service)
         views = [
             view
             for view in self.find_usable(route, service)
-            if view not in excluded
-            and view.may_send(cold_rate)
-            and self._limiter.may_take(view, is_hedge)
+            if view not in excluded and view.may_send(cold_rate)
         ]
-        if not views:
-            return None
-        # A permit of another host takes a round trip, or may be refused.
-        ready = [v for v in views if self._limiter.has_token(v, is_hedge)]
+        found = [v for v in views if self._limiter.has_token(v, is_hedge)]
+        if not found and may_ask_permit:
+            found = [v for v in views if self._limiter.has_lender(v)]
         return min(
-            ready or views, key=lambda view: self._compute_cost_ms(view, route)
+            found,
+            key=lambda view: self._compute_cost_ms(view, route),
+            default=None,
         )
 
     def has_paced(
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -71,6 +71,8 @@
         self._tried: list[_servers.ServerView] = []
         self._running: list[_attempts.Attempt] = []
         self._timer: asyncio.TimerHandle | None = None
+        # Asking for permits to several servers would keep the caller waiting.
+        self._may_ask_permit = True
         self.service = service
         self.answer: _calls.ServerAnswer | None = None
         self.reason = _calls.RefusalReason.NO_SERVER
@@ -151,7 +153,11 @@
         if self.attempts + unsent >= self._route.max_attempts:
             return False
         view = self._context.selector.choose(
-            self._route, self.service, self._find_excluded(), is_hedge
+            self._route,
+            self.service,
+            self._find_excluded(),
+            is_hedge,
+            self._may_ask_permit and not is_hedge,
         )
         if view is None:
             return False
@@ -181,16 +187,14 @@
         if self._repeat is None:
             return self._tried
         usable = self._context.selector.find_usable(self._route, self.service)
-        if len(usable) <= self._route.max_attempts:
-            return self._tried
-        asked = self._repeat.server
-        others = [v for v in usable if v.server.instance_id != asked]
-        return [*self._tried, *others]
+        excluded = self._repeat.find_excluded(usable, self._route.max_attempts)
+        return [*self._tried, *excluded]
 
     async def _run(self, attempt: _attempts.Attempt) -> None:
         view = attempt.view
         try:
             if attempt.admission is _limiters.Admission.PERMIT_NEEDED:
+                self._may_ask_permit = False
                 await self._context.limiter.ask_permit(view)
             answer = await self._context.client.call(
                 view,
@@ -377,13 +381,12 @@
             self._timer.cancel()
             self._timer = None
 
-    def _compute_remaining_budget(self) -> float:
-        sharers = self._context.catalog.count_sharers(self.service)
-        return self._context.budget(self.service).compute_remaining(sharers)
-
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
+        budget = self._context.budget(self.service).compute_remaining(
+            self._context.catalog.count_sharers(self.service)
+        )
         base.log_event(
             _logger,
             event,
@@ -392,6 +395,6 @@
             server=view.server.instance_id,
             slowness=f"{view.slowness:.2f}",
             running=view.running,
-            budget=f"{self._compute_remaining_budget():.1f}",
+            budget=f"{budget:.1f}",
             **fields,
         )
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -113,7 +113,8 @@
     async def try_send(self, name: str, is_hedge: bool = False) -> bool:
         """Returns whether a host may send a request to the server now."""
         limiter, view = self.limiters[name], self.view(name)
-        if not limiter.may_take(view, is_hedge):
+        may_ask = not is_hedge and limiter.has_lender(view)
+        if not limiter.has_token(view, is_hedge) and not may_ask:
             return False
         if limiter.admit(view) is not gateway.Admission.PERMIT_NEEDED:
             return True
