Take the news of a limit that began while an answer was under way

By reading: an answer without a limit counted as the newest word of its server from the moment when it arrived. News that another host had learned of a limit just before was dropped, so that this host went on without the limit until its next answer.

Change: an answer without a limit states that for the time at which its request was sent, as its end of an earlier limit is treated already.

Ruled out: taking each newer word as it comes, which would bring back a limit that another host has seen end.

test_news_of_a_limit_outweighs_an_answer_under_way failed before and passes; 36 of 36 tests of limits pass.

--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -25,7 +25,8 @@
     Attributes:
       requests_per_s: The requests per second that the server takes from all
         hosts together, NO_LIMIT if it states none.
-      stated_ms: When the server last stated it, on the process's clock.
+      stated_ms: When the server last stated it, on the process's clock; the
+        latest time at which it certainly stated none, if it states none.
       lenders: Which other hosts have recently had no token for this one.
       announced_ms: When this host last told others of the limit.
     """
@@ -60,7 +61,12 @@
         is_end = self.is_stated and requests_per_s == NO_LIMIT
         if is_end and sent_ms <= self.stated_ms:
             return False
-        return self._replace(requests_per_s, self._clock.now_ms(), math.inf)
+        if requests_per_s == NO_LIMIT:
+            # The server may have begun to state a limit while it answered.
+            stated_ms = max(sent_ms, self.stated_ms)
+        else:
+            stated_ms = self._clock.now_ms()
+        return self._replace(requests_per_s, stated_ms, math.inf)
 
     def learn(self, requests_per_s: float, stated_ms: float) -> bool:
         """Takes a change that another host knows; returns whether it is one."""
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -319,6 +319,16 @@
         limit.record(gateway.NO_LIMIT, hosts.clock.now_ms())
         self.assertFalse(limit.is_stated)
 
+    def test_news_of_a_limit_outweighs_an_answer_under_way(self) -> None:
+        hosts = _Hosts(1)
+        limit = hosts.view("host-0").rate_limit
+        sent_ms = hosts.clock.now_ms()
+        hosts.clock.advance(30.0)
+        stated_ms = hosts.clock.now_ms()
+        hosts.clock.advance(10.0)
+        limit.record(gateway.NO_LIMIT, sent_ms)
+        self.assertTrue(limit.learn(1.0, stated_ms))
+
     def test_host_without_a_share_learns_that_the_limit_has_ended(self) -> None:
         hosts = _Hosts(75)
         hosts.state_to_all(0.3)
