Wording of the rate limits' comments

Read as a newcomer: the pause after a refusal says what it bounds, and the pages say what states a limit in plain words. No behaviour changes.

--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -9,8 +9,8 @@
 
 NO_LIMIT = math.inf
 _MS_PER_S = 1_000.0
-# If all hosts have much traffic, they use their tokens themselves, and asking
-# them only costs time; if one has little again, it is found after the pause.
+# How long a host that refused a permit is not asked again: doubled after each
+# further refusal, as busy hosts use their tokens themselves.
 _FIRST_REFUSAL_MS = 50.0
 _MAX_REFUSAL_MS = 2_000.0
 
@@ -75,7 +75,7 @@
         return self._replace(requests_per_s, stated_ms, math.inf)
 
     def adopt(self, requests_per_s: float, stated_ms: float) -> None:
-        """Takes what another host knows about a permit, if that is newer.
+        """Takes what another host says with a permit, if that is newer.
 
         If the limit is new to this host, it has just started, and may have
         used all of its share before.
