Check a rate limit in the soak, and allow late refusals of a stopped host

The soak played no limits. After its faults have ended, one server now states 2 requests a second; from 5 s later on it may get 1.5 times that and 5 requests in any 4 s, by the users' bound. The draws of a seed are as before.

Found with it: seed 2 once ended with a 503 at the host that is stopped last (reason stopping, 0 ms). Since a host refuses what comes between the end of its drain and the close of its listeners, as not run; before, such a call ended without a status, which the check allowed. The check is replaced: a 503 of that host is allowed from 2 s after its SIGTERM on, when the load balancer sends it nothing more, and is a fault before; other statuses stay faults.

--- a/standins/cowslipvalve_standins/soak.py
+++ b/standins/cowslipvalve_standins/soak.py
@@ -19,6 +19,7 @@
 from cowslipvalve_standins import _soakchecks
 from cowslipvalve_standins import _soakdeployments
 from cowslipvalve_standins import _soakfaults
+from cowslipvalve_standins import _wireserver
 
 _FAULT_COUNT = 14
 _FAULT_PERIOD_S = 8.0
@@ -27,6 +28,7 @@
 _CHANGE_WAIT_S = 3.0
 _CHECK_AFTER_STOP_S = 2.0  # Calls are still checked for this period.
 _ROUTE_TIMEOUT_MS = 1_500
+_LIMIT_PER_S = 2.0  # A third of what one server gets of the load.
 _ADDED_ROUTE = "last"
 _HTTP_OK = 200
 _MAX_PRINTED_VIOLATIONS = 5
@@ -89,6 +91,7 @@
     All hosts must become ready and apply a configuration change in time. One
     host must exit with status 0 on SIGTERM. Calls must succeed within the
     time-out of their route, except those that the stopped host does not answer.
+    A server states a rate limit, which all hosts together must keep.
     """
     violations: list[str] = []
     for server in list(deployment.servers.values()):
@@ -97,6 +100,7 @@
     async with aiohttp.ClientSession() as session:
         for host in deployment.hosts:
             await host.wait_until_ready(session)
+        limited = _limit_server(deployment)
         await asyncio.sleep(_RECOVERY_S)
         since_ms = _soakcallers.now_ms()
         deployment.configure(_ADDED_ROUTE, timeout_ms=_ROUTE_TIMEOUT_MS)
@@ -109,6 +113,7 @@
                     "that all hosts should serve by now"
                 )
     stopped_host = deployment.hosts[0]
+    stopped_ms = _soakcallers.now_ms()
     stopped_host.send_signal(signal.SIGTERM)
     status = await stopped_host.wait()
     if status:
@@ -118,14 +123,28 @@
         )
     await asyncio.sleep(_CHECK_AFTER_STOP_S)
     violations += _soakchecks.check_calls_after_faults(
-        callers.calls, since_ms, stopped_host.name
+        callers.calls, since_ms, stopped_host.name, stopped_ms
     )
     violations += _soakchecks.check_response_times(
         callers.calls, since_ms, _ROUTE_TIMEOUT_MS
     )
+    violations += _soakchecks.check_rate_limit(limited, _LIMIT_PER_S, since_ms)
     return violations
 
 
+def _limit_server(
+    deployment: _soakdeployments.SoakDeployment,
+) -> _wireserver.WireServer:
+    """Lets one server state a rate limit from now on; returns it."""
+    server = next(
+        server.wire_server
+        for server in deployment.servers.values()
+        if server.service == _soakdeployments.UNSHARDED_SERVICE
+    )
+    server.faults = _wireserver.ServerFaults(rate_limit=str(_LIMIT_PER_S))
+    return server
+
+
 def _report(seed: int, result: SoakResult, folder: pathlib.Path) -> None:
     print(
         f"seed={seed} calls={result.calls} served={result.served} "
