Stop asking for permits when the time for it is over

Change: no host is asked once the time is over.

test_host_that_reaches_no_holder_sends_nothing checks the timeouts now (all 150 ms; the stand-in's clock advances by them) and failed before, with one of 0 among them.

--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -102,7 +102,10 @@
         for host in lenders:
             if not limit.is_stated:
                 return
-            reply = await self._ask(host, view, until_ms)
+            remaining_ms = until_ms - self._clock.now_ms()
+            if remaining_ms <= 0.0:
+                break
+            reply = await self._ask(host, view, remaining_ms)
             if reply is None:
                 limit.lenders.record_failure(host.name, _UNREACHABLE_RETRY_MS)
                 continue
@@ -218,7 +221,7 @@
         self,
         host: _resources.HostRecord,
         view: _servers.ServerView,
-        until_ms: float,
+        timeout_ms: float,
     ) -> _permits.PermitReply | None:
         """Returns the reply of a host, None if it does not come in time."""
         limit = view.rate_limit
@@ -229,7 +232,7 @@
         )
         try:
             return await self._permits.ask(
-                host.state_address, request, until_ms - self._clock.now_ms()
+                host.state_address, request, timeout_ms
             )
         except _errors.HostUnavailableError as error:
             base.log_event(
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -59,6 +59,8 @@
         self.catalogs: dict[str, gateway.Catalog] = {}
         self.limiters: dict[str, gateway.Limiter] = {}
         self.unreachable: set[str] = set()
+        # The timeouts of questions to unreachable hosts, in ms.
+        self.timeouts_ms: list[float] = []
         for name in self.records:
             self.restart(name)
 
@@ -86,11 +88,13 @@
         )
 
     async def ask(
-        self, address: str, request: gateway.PermitRequest, _: float
+        self, address: str, request: gateway.PermitRequest, timeout_ms: float
     ) -> gateway.PermitReply:
         """Stands in for the client that asks other hosts."""
         name = self.by_address[address]
         if name in self.unreachable:
+            self.timeouts_ms.append(timeout_ms)
+            self.clock.advance(timeout_ms)
             raise gateway.HostUnavailableError("cut", step="ask", peer=name)
         return self.limiters[name].answer(request)
 
@@ -224,6 +228,8 @@
         others = [n for n in hosts.records if not self._has_share(hosts, n)]
         hosts.unreachable = set(hosts.records)
         self.assertEqual(self._play(hosts, 1.0, 3_000.0, others[:1]), [])
+        # A timeout of 0 would be none.
+        self.assertEqual(set(hosts.timeouts_ms), {150.0})
 
     def test_restarted_holder_permits_nothing_that_was_used_before(
         self,
