Ask other hosts for rate limits at a host's start

A server that states a limit got more than it allows while hosts restarted in turn: a host that starts knows no limit, sends what its callers ask for until the first answer, and then has a whole new burst, though it may have used its share just before.

Cause: limits are told when they change, and a restart changes nothing. Ruled out: late news (the other hosts knew the limit), hosts without a share (their records stay).

Tokens count from the start of the host in place of a full burst. Between hosts one more message, POST /limits; replies to both kinds of questions are decoded in one place.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -65,9 +65,14 @@
 from cowslipvalve_gateway._limitnews import LimitNews
 from cowslipvalve_gateway._limitnews import create_limit_news
 from cowslipvalve_gateway._limitnotices import NOTICE_PATH
+from cowslipvalve_gateway._limitnotices import QUERY_PATH
+from cowslipvalve_gateway._limitnotices import LimitList
 from cowslipvalve_gateway._limitnotices import LimitNotice
+from cowslipvalve_gateway._limitnotices import LimitQuery
 from cowslipvalve_gateway._limitnotices import NoticeClient
 from cowslipvalve_gateway._limitnotices import create_notice_client
+from cowslipvalve_gateway._limitreaders import LimitReader
+from cowslipvalve_gateway._limitreaders import create_limit_reader
 from cowslipvalve_gateway._limitshares import LimitShare
 from cowslipvalve_gateway._limitshares import compute_share
 from cowslipvalve_gateway._limitshares import count_holders
@@ -135,8 +140,11 @@
     "HostRecord",
     "HostUnavailableError",
     "LimitHandler",
+    "LimitList",
     "LimitNews",
     "LimitNotice",
+    "LimitQuery",
+    "LimitReader",
     "LimitShare",
     "Limiter",
     "LoopLag",
@@ -152,6 +160,7 @@
     "PermitClient",
     "PermitReply",
     "PermitRequest",
+    "QUERY_PATH",
     "RECORD_BYTES",
     "RateLimit",
     "RateLimitedError",
@@ -201,6 +210,7 @@
     "create_host_health",
     "create_limit_handler",
     "create_limit_news",
+    "create_limit_reader",
     "create_limiter",
     "create_loop_lag",
     "create_measurements",
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -10,6 +10,7 @@
 from cowslipvalve_gateway import _groupclients
 from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _limiters
+from cowslipvalve_gateway import _limitreaders
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
@@ -24,6 +25,8 @@
     catalog: _catalogs.Catalog
     # Keeps requests within the limits that servers state.
     limiter: _limiters.Limiter
+    # Reads the limits that servers stated before this host started.
+    limit_reader: _limitreaders.LimitReader
     # Chooses servers.
     selector: _selectors.ServerSelector
     # Sends requests.
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -312,6 +312,19 @@
             default=math.inf,
         )
 
+    @property
+    def servers(self) -> Collection[_servers.ServerView]:
+        """All registered servers."""
+        return self._views.values()
+
+    def find_asked_services(self) -> list[str]:
+        """Returns the services of routes that this host may send requests."""
+        return [
+            service
+            for service in self._single_services | self._shards
+            if self.planner is None or self.planner.is_asker(service)
+        ]
+
     def find_server(self, instance_id: str) -> _servers.ServerView | None:
         """Returns a server, None if it is not registered."""
         return self._views.get(instance_id)
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -32,7 +32,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the state that serving requires is known."""
-        return self._context.catalog.is_complete
+        context = self._context
+        return context.catalog.is_complete and context.limit_reader.is_done
 
     def plan_stop(self, end_ms: float) -> None:
         """Refuses requests from now on that would not end in time.
@@ -56,6 +57,7 @@
             )
             self._log_outcome(request, "", 0, outcome)
             return outcome
+        await self._context.limit_reader.wait_until_done()
         if table.version != self._known_version:
             self._discard_removed_routes(table)
         route = table.find_route(request.host, request.path)
--- a/packages/gateway/cowslipvalve_gateway/_hostposts.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostposts.py
@@ -1,5 +1,7 @@
 """Short messages to other hosts (HTTP, JSON)."""
 
+from typing import TypeVar
+
 import aiohttp
 
 import cowslipvalve_base as base
@@ -8,6 +10,40 @@
 
 _HTTP_OK = 200
 
+_Reply = TypeVar("_Reply")
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    message: object,
+    reply_type: type[_Reply],
+    timeout_ms: float,
+) -> _Reply:
+    """Sends a message to another host and returns its reply.
+
+    Args:
+      session: The HTTP session.
+      address: The state address of the host.
+      path: What the message is about.
+      message: The message, encoded as JSON.
+      reply_type: The type of the reply.
+      timeout_ms: How long to wait for the reply.
+
+    Raises:
+      HostUnavailableError: The host did not return a valid reply.
+    """
+    body = await post(session, address, path, message, timeout_ms)
+    try:
+        return base.decode(reply_type, body)
+    except base.InputError as error:
+        raise _errors.HostUnavailableError(
+            f"the host sent no valid reply: {error}",
+            step=f"post {path}",
+            peer=address,
+        ) from error
+
 
 async def post(
     session: aiohttp.ClientSession,
--- a/packages/gateway/cowslipvalve_gateway/_limiters.py
+++ b/packages/gateway/cowslipvalve_gateway/_limiters.py
@@ -109,7 +109,7 @@
             if reply is None:
                 limit.lenders.record_failure(host.name, _UNREACHABLE_RETRY_MS)
                 continue
-            limit.adopt(
+            limit.learn(
                 _ratelimits.NO_LIMIT
                 if reply.requests_per_s is None
                 else reply.requests_per_s,
@@ -136,7 +136,7 @@
                 age_ms=request.age_ms,
             )
         limit = view.rate_limit
-        limit.adopt(
+        limit.learn(
             request.requests_per_s, self._clock.now_ms() - request.age_ms
         )
         is_granted = not limit.is_stated
--- a/packages/gateway/cowslipvalve_gateway/_limithandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_limithandlers.py
@@ -30,10 +30,7 @@
             message = base.decode(_permits.PermitRequest, await request.read())
         except base.InputError as error:
             return _refuse(request, error)
-        return web.Response(
-            body=base.encode(self._limiter.answer(message)),
-            content_type="application/json",
-        )
+        return _create_response(self._limiter.answer(message))
 
     async def handle_notice(self, request: web.BaseRequest) -> web.Response:
         """Takes one notice."""
@@ -46,6 +43,24 @@
         self._news.receive(notice)
         return web.Response()
 
+    async def handle_query(self, request: web.BaseRequest) -> web.Response:
+        """Returns all limits that this host knows."""
+        try:
+            query = base.decode(_limitnotices.LimitQuery, await request.read())
+        except base.InputError as error:
+            return _refuse(request, error)
+        limits = self._news.list_all()
+        base.log_event(
+            _logger, "limits-told", peer=query.host, count=len(limits.limits)
+        )
+        return _create_response(limits)
+
+
+def _create_response(message: object) -> web.Response:
+    return web.Response(
+        body=base.encode(message), content_type="application/json"
+    )
+
 
 def _refuse(request: web.BaseRequest, error: base.InputError) -> web.Response:
     base.log_event(
--- a/packages/gateway/cowslipvalve_gateway/_limitnews.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitnews.py
@@ -58,15 +58,36 @@
     def receive(self, notice: _limitnotices.LimitNotice) -> None:
         """Takes a notice of another host, and passes on what is new."""
         view = self._catalog.find_server(notice.server)
-        if view is None:
-            return
+        if view is not None and self._learn(view, notice):
+            own_index = self._ranking.rank(view.server).own_index
+            self._spread(view, _find_successors(own_index))
+
+    def receive_all(self, limits: _limitnotices.LimitList) -> None:
+        """Takes what another host knows, which the others know as well."""
+        for notice in limits.limits:
+            view = self._catalog.find_server(notice.server)
+            if view is not None:
+                self._learn(view, notice)
+
+    def list_all(self) -> _limitnotices.LimitList:
+        """Returns all limits that this host knows."""
+        return _limitnotices.LimitList(
+            limits=tuple(
+                self._create_notice(view)
+                for view in self._catalog.servers
+                if view.rate_limit.is_stated
+            )
+        )
+
+    def _learn(
+        self, view: _servers.ServerView, notice: _limitnotices.LimitNotice
+    ) -> bool:
+        """Takes a notice; returns whether it changes the limit."""
         requests_per_s = _ratelimits.NO_LIMIT
         if notice.requests_per_s is not None:
             requests_per_s = notice.requests_per_s
         stated_ms = self._clock.now_ms() - notice.age_ms
-        if view.rate_limit.learn(requests_per_s, stated_ms):
-            own_index = self._ranking.rank(view.server).own_index
-            self._spread(view, _find_successors(own_index))
+        return view.rate_limit.learn(requests_per_s, stated_ms)
 
     def _spread(self, view: _servers.ServerView, indexes: list[int]) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/gateway/cowslipvalve_gateway/_limitnotices.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitnotices.py
@@ -1,4 +1,4 @@
-"""Notices by which hosts tell each other of a server's rate limit."""
+"""Messages by which hosts tell each other of servers' rate limits."""
 
 import aiohttp
 import attrs
@@ -6,6 +6,7 @@
 from cowslipvalve_gateway import _hostposts
 
 NOTICE_PATH = "/limit"
+QUERY_PATH = "/limits"
 
 
 @attrs.frozen(kw_only=True)
@@ -20,8 +21,23 @@
     age_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class LimitQuery:
+    """Asks another host for the limits that it knows."""
+
+    # The name of the host that asks.
+    host: str
+
+
+@attrs.frozen(kw_only=True)
+class LimitList:
+    """The limits that a host knows."""
+
+    limits: tuple[LimitNotice, ...]
+
+
 class NoticeClient:
-    """Sends notices to other hosts."""
+    """Sends notices to other hosts and reads theirs."""
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
@@ -43,7 +59,24 @@
             self._session, address, NOTICE_PATH, notice, timeout_ms
         )
 
+    async def fetch(
+        self, address: str, query: LimitQuery, timeout_ms: float
+    ) -> LimitList:
+        """Returns the limits that a host knows.
+
+        Args:
+          address: The state address of the host.
+          query: The query.
+          timeout_ms: How long to wait for the reply.
+
+        Raises:
+          HostUnavailableError: The host did not return a valid reply.
+        """
+        return await _hostposts.ask(
+            self._session, address, QUERY_PATH, query, LimitList, timeout_ms
+        )
+
 
 def create_notice_client(session: aiohttp.ClientSession) -> NoticeClient:
-    """Creates a client that tells other hosts of rate limits."""
+    """Creates a client that exchanges rate limits with other hosts."""
     return NoticeClient(session)
--- a/packages/gateway/cowslipvalve_gateway/_permits.py
+++ b/packages/gateway/cowslipvalve_gateway/_permits.py
@@ -3,8 +3,6 @@
 import aiohttp
 import attrs
 
-import cowslipvalve_base as base
-from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _hostposts
 
 PERMIT_PATH = "/permit"
@@ -53,17 +51,14 @@
         Raises:
           HostUnavailableError: The host did not return a valid reply.
         """
-        body = await _hostposts.post(
-            self._session, address, PERMIT_PATH, request, timeout_ms
+        return await _hostposts.ask(
+            self._session,
+            address,
+            PERMIT_PATH,
+            request,
+            PermitReply,
+            timeout_ms,
         )
-        try:
-            return base.decode(PermitReply, body)
-        except base.InputError as error:
-            raise _errors.HostUnavailableError(
-                f"the host sent no valid permit: {error}",
-                step="ask-permit",
-                peer=address,
-            ) from error
 
 
 def create_permit_client(session: aiohttp.ClientSession) -> PermitClient:
--- a/packages/gateway/cowslipvalve_gateway/_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/_ratelimits.py
@@ -34,10 +34,11 @@
     def __init__(self, clock: base.Clock, server: str) -> None:
         self._clock = clock
         self._server = server
-        self._share = _limitshares.NO_SHARE
+        # None before the first share: a host that has just started may have
+        # used its share before, so its tokens are counted from then on.
+        self._share: _limitshares.LimitShare | None = None
         self._tokens = 0.0
         self._refilled_ms = clock.now_ms()
-        self._was_ever_stated = False
         self.requests_per_s = NO_LIMIT
         self.stated_ms = -math.inf
         self.lenders = self._create_lenders()
@@ -66,28 +67,19 @@
             stated_ms = max(sent_ms, self.stated_ms)
         else:
             stated_ms = self._clock.now_ms()
-        return self._replace(requests_per_s, stated_ms, math.inf)
+        return self._replace(requests_per_s, stated_ms)
 
     def learn(self, requests_per_s: float, stated_ms: float) -> bool:
         """Takes a change that another host knows; returns whether it is one."""
         if stated_ms <= self.stated_ms:
             return False
-        return self._replace(requests_per_s, stated_ms, math.inf)
-
-    def adopt(self, requests_per_s: float, stated_ms: float) -> None:
-        """Takes what another host says with a permit, if that is newer.
-
-        If the limit is new to this host, it has just started, and may have
-        used all of its share before.
-        """
-        if stated_ms > self.stated_ms:
-            self._replace(requests_per_s, stated_ms, 0.0)
+        return self._replace(requests_per_s, stated_ms)
 
     def set_share(self, share: _limitshares.LimitShare) -> None:
         """Replaces this host's share of the limit."""
         now_ms = self._clock.now_ms()
         elapsed_s = base.to_seconds(now_ms - self._refilled_ms)
-        self._tokens += elapsed_s * self._share.requests_per_s
+        self._tokens += elapsed_s * (self._share or share).requests_per_s
         self._tokens = min(self._tokens, share.burst)
         self._refilled_ms = now_ms
         self._share = share
@@ -106,7 +98,7 @@
 
     def compute_token_wait_ms(self) -> float:
         """Returns when this host's share has a token, infinite without one."""
-        if not self._share.requests_per_s:
+        if self._share is None or not self._share.requests_per_s:
             return math.inf
         lacking = max(0.0, 1.0 - self._tokens)
         return lacking / self._share.requests_per_s * _MS_PER_S
@@ -116,19 +108,12 @@
             self._clock, _FIRST_REFUSAL_MS, _MAX_REFUSAL_MS
         )
 
-    def _replace(
-        self, requests_per_s: float, stated_ms: float, first_tokens: float
-    ) -> bool:
+    def _replace(self, requests_per_s: float, stated_ms: float) -> bool:
         old = self.requests_per_s
         self.requests_per_s = requests_per_s
         self.stated_ms = stated_ms
         if requests_per_s != old:
             self.lenders = self._create_lenders()
-        if self.is_stated and not self._was_ever_stated:
-            # The next set_share reduces it to the share's burst.
-            self._was_ever_stated = True
-            self._tokens = first_tokens
-            self._refilled_ms = self._clock.now_ms()
         if requests_per_s != old:
             base.log_event(
                 _logger,
--- a/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_ratelimits.py
@@ -22,6 +22,7 @@
     slots=2,
 )
 _WINDOW_MS = 4_000.0
+_RUNNING_MS = 60_000.0  # For how long the hosts have run before a test.
 
 
 def _compute_allowed(requests_per_s: float) -> float:
@@ -63,6 +64,7 @@
         self.timeouts_ms: list[float] = []
         for name in self.records:
             self.restart(name)
+        self.clock.advance(_RUNNING_MS)
 
     def restart(self, name: str) -> None:
         """Creates a host that knows the other hosts and no limit."""
@@ -244,6 +246,21 @@
             sent += self._play(hosts, 1.0, 400.0, others[:3])
         self.assertLessEqual(len(sent), _compute_allowed(1.0))
 
+    def test_hosts_that_restart_repeatedly_have_no_new_bursts(self) -> None:
+        hosts = _Hosts(8)
+        hosts.state_to_all(2.0)
+        sent: list[float] = []
+        for name in [*hosts.records] * 4:
+            for busy in hosts.records:
+                while _run(hosts.try_send(busy)):
+                    sent.append(hosts.clock.now_ms())
+                    hosts.state(busy, 2.0)
+            hosts.restart(name)
+            hosts.state(name, 2.0)
+            self._check_window(hosts, sent, 2.0)
+            hosts.clock.advance(100.0)
+        self.assertLessEqual(len(sent), _compute_allowed(2.0))
+
     def test_hosts_that_are_not_registered_add_nothing(self) -> None:
         for registered in (1, 3, 8):
             with self.subTest(registered=registered):
--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -41,6 +41,8 @@
     """A host of a test with several hosts, and its addresses."""
 
     host: adapter.Host
+    # The settings that the host was started with.
+    settings: adapter.Settings
     # The port by which the host reaches the store.
     store_port: int
     # The address that callers connect to.
@@ -130,6 +132,24 @@
     return value.to_bytes(_wireserver.RECORD_BYTES, "big")
 
 
+def _create_settings(addresses: list[str], **fields: Any) -> adapter.Settings:
+    """Returns the settings of a host; fields override defaults."""
+    defaults = {
+        "host": "front-1",
+        "failure_domain": "kuopio",
+        "regions": {"kuopio": "savo", "rovaniemi": "lappi"},
+        "caller_address": addresses[1],
+        "ready_address": addresses[2],
+        "metrics_address": addresses[3],
+        "state_address": addresses[4],
+        "seeds": (),
+        "store_address": addresses[0],
+        "grace_s": 4.0,
+        "budget": adapter.BudgetSettings(ratio=0.2, slack=800, window_s=10),
+    }
+    return adapter.Settings(**{**defaults, **fields})
+
+
 class WireTest(unittest.IsolatedAsyncioTestCase):
     """Base of tests on the wire; it starts a store.
 
@@ -192,7 +212,7 @@
 
     async def start_host(self, **fields: Any) -> adapter.Host:
         """Starts the default host, with overrides of its settings."""
-        return await self._create_and_start_host(self.addresses, **fields)
+        return await self._start(_create_settings(self.addresses, **fields))
 
     async def add_host(
         self,
@@ -212,7 +232,7 @@
         ports = _deployments.choose_ports(5)
         await web.TCPSite(self._runner, "127.0.0.1", ports[0]).start()
         addresses = [f"127.0.0.1:{port}" for port in ports]
-        host = await self._create_and_start_host(
+        settings = _create_settings(
             addresses,
             host=name,
             failure_domain=domain,
@@ -220,30 +240,21 @@
             **fields,
         )
         return WireHost(
-            host=host,
+            host=await self._start(settings),
+            settings=settings,
             store_port=ports[0],
             caller_address=addresses[1],
             ready_address=addresses[2],
             state_address=addresses[4],
         )
 
-    async def _create_and_start_host(
-        self, addresses: list[str], **fields: Any
-    ) -> adapter.Host:
-        defaults = {
-            "host": "front-1",
-            "failure_domain": "kuopio",
-            "regions": {"kuopio": "savo", "rovaniemi": "lappi"},
-            "caller_address": addresses[1],
-            "ready_address": addresses[2],
-            "metrics_address": addresses[3],
-            "state_address": addresses[4],
-            "seeds": (),
-            "store_address": addresses[0],
-            "grace_s": 4.0,
-            "budget": adapter.BudgetSettings(ratio=0.2, slack=800, window_s=10),
-        }
-        host = adapter.create_host(adapter.Settings(**{**defaults, **fields}))
+    async def restart_host(self, host: WireHost) -> WireHost:
+        """Ends a host without a drain and starts it again."""
+        await host.host.stop()
+        return attrs.evolve(host, host=await self._start(host.settings))
+
+    async def _start(self, settings: adapter.Settings) -> adapter.Host:
+        host = adapter.create_host(settings)
         await host.start()
         self.addAsyncCleanup(host.stop)
         return host
