Wait 60 ms at most for the rate limits at a host's start

Hosts of the same failure domain answer within a few ms; after a power loss, when all hosts start at once, each request would have waited 100 ms for hosts that are not up.

--- a/packages/gateway/cowslipvalve_gateway/_limitreaders.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitreaders.py
@@ -20,7 +20,7 @@
 
 # How long requests wait for the limits: a round trip between regions over a new
 # connection. After a power loss the hosts that are asked start as well.
-_MAX_WAIT_MS = 100.0
+_MAX_WAIT_MS = 60.0
 _TIMEOUT_MS = 250.0
 _POLL_MS = 10.0
 # One of them may have just started, too.
