Keep the logs of failed tests

Six of the eight known reds could not be traced because the logs of their hosts were deleted with the test's folder. A failed session or soak test now leaves its processes' logs under target/failed-tests; its output names the folder.

--- a/standins/cowslipvalve_standins/_sessions.py
+++ b/standins/cowslipvalve_standins/_sessions.py
@@ -9,6 +9,7 @@
 import orjson
 
 from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _keptlogs
 from cowslipvalve_standins import _loads
 from cowslipvalve_standins import _shapes
 
@@ -70,6 +71,9 @@
             shape, os.environ.get("COWSLIPVALVE_ABLATION", "")
         )
         await self.enterAsyncContext(deployment)
+        self.addCleanup(
+            _keptlogs.keep_logs_of_failure, self, deployment.directory
+        )
         await deployment.wait_until_ready(search=self.search)
         return deployment
 
--- a/standins/cowslipvalve_standins/tests/test_soak.py
+++ b/standins/cowslipvalve_standins/tests/test_soak.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cowslipvalve_standins import _keptlogs
 from cowslipvalve_standins import _soakcallers
 from cowslipvalve_standins import _soakchecks
 from cowslipvalve_standins import _soakdeployments
@@ -210,6 +211,10 @@
                 tempfile.TemporaryDirectory() as folder,
             ):
                 result = await soak.run_seed(seed, pathlib.Path(folder))
+                if result.violations:
+                    _keptlogs.keep_logs(
+                        f"{self.id()}-{seed}", pathlib.Path(folder)
+                    )
                 self.assertEqual(result.violations, ())
                 self.assertGreater(result.served, result.calls / 2)
 
