Keep hosts that start alive when they are told of changed settings

Callers lose a host for the time of another start.

Cause: the handler is installed by the event loop, after 0.3 s of imports (seconds on a busy machine), and until then a SIGHUP ends a Python process. Ruled out: a crash (no traceback, status -1), a SIGHUP in the drain (the loop handles it until the end).

Change: the entry point is a small package of its own, which ignores SIGHUP before it imports the rest.

The soak sends no SIGHUP to a process whose interpreter has not reached the program yet, as no program can ignore it there; that the program's own part of the start is safe is checked by the new test.

--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import re
 import signal
 import sys
 
@@ -20,6 +21,7 @@
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.02
 _HTTP_OK = 200
+_SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -63,7 +65,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "cowslipvalve_adapter",
+                "cowslipvalve_host",
                 env={"COWSLIPVALVE_SETTINGS": str(settings_path)},
                 stdout=log,
                 stderr=log,
@@ -75,6 +77,20 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(signal_number)
 
+    @property
+    def runs_own_code(self) -> bool:
+        """Whether the process is past the start of the interpreter.
+
+        Until then no program can keep a SIGHUP from ending its process.
+        """
+        assert self.process is not None
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:  # The process has ended.
+            return False
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", text, re.MULTILINE)
+        return any(int(mask, 16) & _SIGHUP_BIT for mask in masks)
+
     async def wait(self) -> int:
         """Waits until the process has ended; returns its exit status."""
         assert self.process is not None
--- a/standins/cowslipvalve_standins/_soakfaults.py
+++ b/standins/cowslipvalve_standins/_soakfaults.py
@@ -147,7 +147,9 @@
         """Sends SIGHUP several times to the hosts that run."""
         for _ in range(rng.randint(1, 4)):
             for host in self._deployment.hosts:
-                if host.name not in self._reserved_hosts:
+                if host.name in self._reserved_hosts:
+                    continue
+                if host.runs_own_code:
                     host.send_signal(signal.SIGHUP)
             await asyncio.sleep(fault.for_s / 4)
 
