Let no time-out of a call consume the cancellation that ends it

Callers saw 404 on routes that were minutes old at one host, and a host that did not end at SIGTERM.

Cause: a task that is cancelled in the turn of the event loop in which aiohttp's total time-out expires gets a TimeoutError; aiohttp nests its time-out and takes back two cancellations for one. The watcher's probe took that for an outage of the store and went on probing, while the follower waited for it to end: no new state, no stop. The class: loops that end by cancellation around a call whose time-out may consume it.

Change: the calls to the store, to other hosts, to servers and to peers are bounded by asyncio.timeout, in the gateway, the adapter and the daemon's packages.

--- a/packages/backend/cowslipvalve_backend/_client.py
+++ b/packages/backend/cowslipvalve_backend/_client.py
@@ -1,5 +1,6 @@
 """Client of one backend server."""
 
+import asyncio
 from typing import Any, TypeVar
 
 import aiohttp
@@ -72,13 +73,11 @@
         Raises:
           NotRunError: The state could not be read or is invalid.
         """
-        timeout = aiohttp.ClientTimeout(
-            total=model.to_seconds(_STATE_TIMEOUT_MS)
-        )
         try:
-            async with self._session.get(
-                self._url + "/state", timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(model.to_seconds(_STATE_TIMEOUT_MS)),
+                self._session.get(self._url + "/state") as response,
+            ):
                 return model.decode(model.ServerState, await response.read())
         except (
             TimeoutError,
@@ -95,14 +94,14 @@
 
     async def cancel(self, attempt_ids: tuple[str, ...]) -> None:
         """Asks the server to stop attempts; failures are ignored."""
-        timeout = aiohttp.ClientTimeout(
-            total=model.to_seconds(_CANCEL_TIMEOUT_MS)
-        )
         body = model.encode(model.CancelRequest(attempt_ids))
         try:
-            async with self._session.post(
-                self._url + "/cancel", data=body, timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(model.to_seconds(_CANCEL_TIMEOUT_MS)),
+                self._session.post(
+                    self._url + "/cancel", data=body
+                ) as response,
+            ):
                 await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError):
             return
@@ -119,15 +118,16 @@
         kind: type[_T],
         headers: dict[str, str] | None = None,
     ) -> _T:
-        timeout = aiohttp.ClientTimeout(total=model.to_seconds(timeout_ms))
         step = path[1:]
         try:
-            async with self._session.post(
-                self._url + path,
-                data=model.encode(message),
-                timeout=timeout,
-                headers=headers,
-            ) as response:
+            async with (
+                asyncio.timeout(model.to_seconds(timeout_ms)),
+                self._session.post(
+                    self._url + path,
+                    data=model.encode(message),
+                    headers=headers,
+                ) as response,
+            ):
                 text = await response.read()
                 if response.status != _HTTP_OK:
                     response.close()
--- a/packages/daemon/cowslipvalve_daemon/_heartbeats.py
+++ b/packages/daemon/cowslipvalve_daemon/_heartbeats.py
@@ -52,9 +52,7 @@
         self._configurations = configurations
         self._client = client
         self._clock = clock
-        self._timeout = aiohttp.ClientTimeout(
-            total=model.to_seconds(settings.heartbeat.dead_ms)
-        )
+        self._timeout_s = model.to_seconds(settings.heartbeat.dead_ms)
         self._domain_tasks: dict[str, asyncio.Future[None]] = {}
         self._known_addresses: set[str] = set(settings.peers)
         self._fetch_lock = asyncio.Lock()
@@ -174,11 +172,13 @@
 
     async def _exchange_with(self, host: str, address: str) -> None:
         try:
-            async with self._session.post(
-                f"{self._scheme}://{address}/peer/heartbeat",
-                data=model.encode(self._build_heartbeat(host)),
-                timeout=self._timeout,
-            ) as response:
+            async with (
+                asyncio.timeout(self._timeout_s),
+                self._session.post(
+                    f"{self._scheme}://{address}/peer/heartbeat",
+                    data=model.encode(self._build_heartbeat(host)),
+                ) as response,
+            ):
                 text = await response.read()
                 if response.status == _HTTP_OK:
                     self._merge_heartbeat(model.decode(model.Heartbeat, text))
@@ -218,11 +218,13 @@
             if number <= current or record is None:
                 return
             try:
-                async with self._session.get(
-                    f"{self._scheme}://{record.address}/peer/configuration",
-                    params={"since": str(current)},
-                    timeout=self._timeout,
-                ) as response:
+                async with (
+                    asyncio.timeout(self._timeout_s),
+                    self._session.get(
+                        f"{self._scheme}://{record.address}/peer/configuration",
+                        params={"since": str(current)},
+                    ) as response,
+                ):
                     delta = model.decode(
                         model.ConfigurationDelta, await response.read()
                     )
--- a/packages/daemon/cowslipvalve_daemon/_orderdispatchers.py
+++ b/packages/daemon/cowslipvalve_daemon/_orderdispatchers.py
@@ -1,5 +1,6 @@
 """Dispatches orders to servers by way of the servers' homes."""
 
+import asyncio
 import uuid
 from typing import Any
 
@@ -136,14 +137,15 @@
       The peer's reply as a reply_type; on failure a HomeOrderReply with the
       outcome NOT_RUN if no connection was made, and UNKNOWN otherwise.
     """
-    timeout = aiohttp.ClientTimeout(total=model.to_seconds(timeout_ms))
     try:
-        async with session.post(
-            url,
-            data=model.encode(message),
-            timeout=timeout,
-            headers={"Connection": "close"},
-        ) as response:
+        async with (
+            asyncio.timeout(model.to_seconds(timeout_ms)),
+            session.post(
+                url,
+                data=model.encode(message),
+                headers={"Connection": "close"},
+            ) as response,
+        ):
             text = await response.read()
             if response.status != _HTTP_OK:
                 return model.HomeOrderReply(
--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -1,5 +1,6 @@
 """Client and server side of the state exchange between hosts (HTTP, JSON)."""
 
+import asyncio
 import zlib
 from collections.abc import Mapping
 
@@ -68,11 +69,13 @@
     async def _get(
         self, address: str, path: str, query: dict[str, str], timeout_ms: float
     ) -> _replicas.StateMessage:
-        timeout = aiohttp.ClientTimeout(total=base.to_seconds(timeout_ms))
         try:
-            async with self._session.get(
-                f"http://{address}{path}", params=query, timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(base.to_seconds(timeout_ms)),
+                self._session.get(
+                    f"http://{address}{path}", params=query
+                ) as response,
+            ):
                 text = await _bodies.read_body(response)
         except (
             TimeoutError,
--- a/packages/gateway/cowslipvalve_gateway/_hostposts.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostposts.py
@@ -1,5 +1,6 @@
 """Short messages to other hosts (HTTP, JSON)."""
 
+import asyncio
 from typing import TypeVar
 
 import aiohttp
@@ -64,13 +65,13 @@
     Raises:
       HostUnavailableError: The host did not take the message.
     """
-    timeout = aiohttp.ClientTimeout(total=base.to_seconds(timeout_ms))
     try:
-        async with session.post(
-            f"http://{address}{path}",
-            data=base.encode(message),
-            timeout=timeout,
-        ) as response:
+        async with (
+            asyncio.timeout(base.to_seconds(timeout_ms)),
+            session.post(
+                f"http://{address}{path}", data=base.encode(message)
+            ) as response,
+        ):
             body = await _bodies.read_body(response)
         if response.status == _HTTP_OK:
             return body
--- a/packages/store/cowslipvalve_store/_client.py
+++ b/packages/store/cowslipvalve_store/_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -31,9 +32,7 @@
     ) -> None:
         self._session = session
         self._url = url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(
-            total=model.to_seconds(timeout_ms)
-        )
+        self._timeout_s = model.to_seconds(timeout_ms)
 
     async def list(self, kind: str) -> _objects.ObjectList:
         """Returns all objects of a kind."""
@@ -128,7 +127,7 @@
         path = f"/objects/{kind}?watch=1&resourceVersion={resource_version}"
         timeout = aiohttp.ClientTimeout(
             total=None,
-            connect=self._timeout.total,
+            connect=self._timeout_s,
             sock_read=model.to_seconds(_WATCH_READ_TIMEOUT_MS),
         )
         try:
@@ -160,9 +159,12 @@
         body = None if item is None else model.encode(item)
         step = f"{method} {path.split('?', maxsplit=1)[0]}"
         try:
-            async with self._session.request(
-                method, self._url + path, data=body, timeout=self._timeout
-            ) as response:
+            async with (
+                asyncio.timeout(self._timeout_s),
+                self._session.request(
+                    method, self._url + path, data=body
+                ) as response,
+            ):
                 await self._raise_for_status(response, step)
                 return model.decode_plain(await response.read())
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
