--- a/packages/daemon/cowslipvalve_daemon/tests/test_cancellations.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_cancellations.py
@@ -1,7 +1,6 @@
 """Tests that calls to the platform and to servers end when cancelled."""
 
 import unittest
-from collections.abc import Awaitable, Callable
 
 import aiohttp
 
@@ -24,7 +23,7 @@
             url = f"http://{address}"
             platform = store.create_platform_client(session, url, _TIMEOUT_MS)
             server = backend.ServerClient(session, "i-0", address)
-            calls: dict[str, Callable[[], Awaitable[object]]] = {
+            calls = {
                 "platform": lambda: platform.list("searches"),
                 "server": lambda: server.query(
                     model.ServerBatch(()), _TIMEOUT_MS
@@ -33,11 +32,7 @@
                     session, url, {}, _TIMEOUT_MS, model.HomeOrderReply
                 ),
             }
-            for name, call in calls.items():
-                with self.subTest(name):
-                    self.assertTrue(
-                        await _cancellations.is_cancelled_at_timeout(call)
-                    )
+            await _cancellations.check_calls(self, calls)
 
 
 if __name__ == "__main__":
--- a/standins/cowslipvalve_standins/_cancellations.py
+++ b/standins/cowslipvalve_standins/_cancellations.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 TIMEOUT_MS = 300.0
 _STALL_BEGIN_S = 0.25
@@ -55,5 +56,20 @@
     return tasks[0].cancelled()
 
 
+async def check_calls(
+    test: unittest.TestCase,
+    calls: Mapping[str, Callable[[], Awaitable[object]]],
+) -> None:
+    """Checks that each of some calls ends as cancelled.
+
+    Args:
+      test: The test, which gets a subtest per call.
+      calls: As in is_cancelled_at_timeout, by name.
+    """
+    for name, call in calls.items():
+        with test.subTest(name):
+            test.assertTrue(await is_cancelled_at_timeout(call))
+
+
 async def _wait_for(awaitable: Awaitable[object]) -> object:
     return await awaitable
