--- a/standins/cowslipvalve_standins/tests/test_soak.py
+++ b/standins/cowslipvalve_standins/tests/test_soak.py
@@ -201,8 +201,8 @@
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
 
-    # The first two seeds, of which 1 showed a host that got stuck when it handed
-    # its watch over; 504: a SIGHUP ended a host that had just started.
+    # The first two seeds; 1 showed a host that got stuck as it handed its watch
+    # over. 504: a SIGHUP ended a host that had just started.
     seeds = (1, 2, 504)
 
     async def test_seeds_break_no_promise(self) -> None:
