Show that a request that ends servers is sent on without end

Callers of other requests saw 502 and 503: on stand-ins one body ended 40 servers in 15 s (80 where it is gathered), 30 sendings of 15 requests later than 3 s after the third server had ended; 89 of 120 other requests failed.

--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -40,6 +40,9 @@
     # The Server-Limit of the answers, the requests per second that the server
     # takes from all hosts together; not sent if empty.
     rate_limit: str = ""
+    # The body that ends the server as soon as it begins to run it; none if
+    # empty.
+    crash_body: bytes = b""
 
 
 @attrs.frozen(kw_only=True)
@@ -68,6 +71,7 @@
       connections: The number of connections that were accepted.
       address: The address that the server listens on, empty before the start.
       records: The records of this server's shard.
+      has_crashed: Whether a request has ended the server.
     """
 
     def __init__(self, instance_id: str, records: tuple[bytes, ...]) -> None:
@@ -79,6 +83,7 @@
         self.proofs: dict[str, str] = {}
         self.connections = 0
         self.address = ""
+        self.has_crashed = False
         self._server: asyncio.Server | None = None
         self._connection_tasks: set[asyncio.Task[None]] = set()
 
@@ -98,6 +103,14 @@
             task.cancel()
         await asyncio.gather(*self._connection_tasks, return_exceptions=True)
 
+    def crash(self) -> None:
+        """Ends at once, as a process that is killed."""
+        assert self._server is not None
+        self.has_crashed = True
+        self._server.close()
+        for task in self._connection_tasks:
+            task.cancel()
+
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -134,6 +147,9 @@
             )
             return True
         self.executed_requests.append(request)
+        if self.faults.crash_body and request.body == self.faults.crash_body:
+            self.crash()
+            return False
         if not await self._simulate_work(reader, request_id):
             return False
         return await self._send_answer(writer, request_id)
