Quarantine requests under which servers end

What callers saw: a request that ends each server that runs it came again and was sent on each time (502); on stand-ins 40 servers ended in 15 s and 89 of 120 other requests failed (80 and 110 where it is gathered).

Cause: the gateway knew nothing of a request beyond its own call.

Change: hosts check whether a server whose connection broke has ended, report that with fingerprints of what it ran to one watcher of each failure domain, and refuse at once (503, Retry-After) what is convicted by three ends apart from each other. Lost answers, resets, power losses and planned ends are no evidence; answers exonerate; a request beside one with more evidence is not convicted. Entries travel with the state, so hosts that start, were cut off or frozen learn them.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -17,6 +17,20 @@
 from cowslipvalve_gateway._catalogs import create_catalog
 from cowslipvalve_gateway._connections import RawAnswer
 from cowslipvalve_gateway._connections import ServerConnection
+from cowslipvalve_gateway._crashhandlers import CrashReportHandler
+from cowslipvalve_gateway._crashhandlers import create_crash_report_handler
+from cowslipvalve_gateway._crashrecords import CrashRecord
+from cowslipvalve_gateway._crashrecords import Exoneration
+from cowslipvalve_gateway._crashrecords import ServerEnd
+from cowslipvalve_gateway._crashrecords import create_crash_record
+from cowslipvalve_gateway._crashreports import REPORT_PATH
+from cowslipvalve_gateway._crashreports import CrashReport
+from cowslipvalve_gateway._crashreports import CrashReportClient
+from cowslipvalve_gateway._crashreports import QuarantineList
+from cowslipvalve_gateway._crashreports import create_crash_report_client
+from cowslipvalve_gateway._crashwatches import CrashWatch
+from cowslipvalve_gateway._crashwatches import create_crash_watch
+from cowslipvalve_gateway._errors import BrokenConnectionError
 from cowslipvalve_gateway._errors import UnsentError
 from cowslipvalve_gateway._errors import RejectedError
 from cowslipvalve_gateway._errors import MisdirectedError
@@ -104,6 +118,10 @@
 from cowslipvalve_gateway._callcontexts import CallContext
 from cowslipvalve_gateway._shardwaits import ShardWaits
 from cowslipvalve_gateway._shardwaits import create_shard_waits
+from cowslipvalve_gateway._fingerprints import compute_fingerprint
+from cowslipvalve_gateway._quarantines import Quarantine
+from cowslipvalve_gateway._quarantines import QuarantineEntry
+from cowslipvalve_gateway._quarantines import create_quarantine
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
 from cowslipvalve_gateway._stores import StateKind
@@ -120,12 +138,19 @@
     "AnswerLimits",
     "AnswerMemory",
     "AttemptBudget",
+    "BrokenConnectionError",
     "BudgetBounds",
     "CallContext",
     "CallerLimits",
     "CallerRequest",
     "Catalog",
     "CatalogMaintenance",
+    "CrashRecord",
+    "CrashReport",
+    "CrashReportClient",
+    "CrashReportHandler",
+    "CrashWatch",
+    "Exoneration",
     "GROUP_PATH",
     "Gateway",
     "GroupClient",
@@ -161,7 +186,11 @@
     "PermitReply",
     "PermitRequest",
     "QUERY_PATH",
+    "Quarantine",
+    "QuarantineEntry",
+    "QuarantineList",
     "RECORD_BYTES",
+    "REPORT_PATH",
     "RateLimit",
     "RateLimitedError",
     "RawAnswer",
@@ -174,6 +203,7 @@
     "ServerAnswer",
     "ServerClient",
     "ServerConnection",
+    "ServerEnd",
     "ServerPool",
     "ServerProtocol",
     "ServerSelector",
@@ -195,12 +225,17 @@
     "UnsentError",
     "VolumeFilter",
     "WatcherChoice",
+    "compute_fingerprint",
     "compute_share",
     "count_holders",
     "create_answer_memory",
     "create_attempt_budget",
     "create_catalog",
     "create_catalog_maintenance",
+    "create_crash_record",
+    "create_crash_report_client",
+    "create_crash_report_handler",
+    "create_crash_watch",
     "create_gateway",
     "create_group_client",
     "create_group_handler",
@@ -216,6 +251,7 @@
     "create_measurements",
     "create_notice_client",
     "create_permit_client",
+    "create_quarantine",
     "create_rate_limit",
     "create_server_client",
     "create_server_pool",
--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -23,6 +23,15 @@
     route: _resources.Route,
 ) -> _calls.Refusal | None:
     """Returns the refusal of a request that too few shards can answer now."""
+    blocked = sum(
+        context.crashes.blocks(request, service) for service in route.shards
+    )
+    if not route.meets_coverage(len(route.shards) - blocked):
+        return _refusals.create_refusal(
+            _calls.RefusalReason.QUARANTINED,
+            False,
+            context.crashes.compute_remaining_ms(request),
+        )
     usable = 0
     # Until when all servers of a shard take no request, for each such shard.
     waits_ms: list[float] = []
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -7,6 +7,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _budgets
 from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _crashwatches
 from cowslipvalve_gateway import _groupclients
 from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _limiters
@@ -45,6 +46,8 @@
     host_health: _hosthealth.HostHealth
     # Which shards other hosts may not ask for now.
     shard_waits: _shardwaits.ShardWaits
+    # Notices requests under which servers end.
+    crashes: _crashwatches.CrashWatch
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -21,6 +21,8 @@
     headers: tuple[tuple[str, str], ...]
     # The body, forwarded unchanged.
     body: bytes
+    # The client account that the caller names, empty if it names none.
+    account: str = ""
     # When the request was completely read, on the process's clock.
     received_ms: float
     # When the caller stops waiting, on the process's clock.
@@ -77,6 +79,7 @@
     BAD_ANSWER = "bad-answer"
     LOW_COVERAGE = "low-coverage"
     TIMEOUT = "timeout"
+    QUARANTINED = "quarantined"
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -184,7 +184,12 @@
         ):
             self._finish()
         else:
-            self._fail(f"the connection was lost: {exc!r}")
+            self._fail(
+                f"the connection was lost: {exc!r}",
+                _errors.LostAnswerError
+                if self._received_bytes
+                else _errors.BrokenConnectionError,
+            )
 
     def on_message_begin(self) -> None:
         """Resets the parsed answer; an unrequested one prevents reuse."""
@@ -247,8 +252,12 @@
         else:
             self._is_unusable = True
 
-    def _fail(self, message: str) -> None:
+    def _fail(
+        self,
+        message: str,
+        kind: type[_errors.LostAnswerError] = _errors.LostAnswerError,
+    ) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
-                _errors.LostAnswerError(message, step="read", peer=self._peer)
+                kind(message, step="read", peer=self._peer)
             )
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -27,6 +27,10 @@
     """The request was sent without a complete answer; it may have run."""
 
 
+class BrokenConnectionError(LostAnswerError):
+    """The connection was lost before any byte of an answer."""
+
+
 class HistoryGoneError(base.PlatformError):
     """The store has discarded the changes after a revision; list again."""
 
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import math
+import random
 
 import attrs
 import mode
@@ -38,6 +39,8 @@
 # Each change of source costs several calls.
 _SOURCE_SEARCH_INTERVAL_MS = 3_000.0
 _NEAR_SOURCE_RETRY_MS = 5_000.0
+# Watchers that missed a report learn the quarantined requests from others.
+_QUARANTINE_INTERVAL_MS = 2_000.0
 _FIRST_BACKOFF_MS = 100.0
 _MAX_BACKOFF_MS = 2_000.0
 
@@ -106,6 +109,19 @@
             await self._clock.sleep_ms(backoff_ms)
             backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
 
+    @mode.Service.task
+    async def _read_quarantines(self) -> None:
+        """Reads the quarantined requests of other watchers in turn."""
+        while not self.should_stop:
+            if self._replica.is_watching:
+                far = self._sources.choice.far_sources(
+                    self._replica.catalog.hosts
+                )
+                message = far and await self._fetch_age(random.choice(far))
+                if message:
+                    self._replica.apply_quarantine(message)
+            await self._clock.sleep_ms(_QUARANTINE_INTERVAL_MS)
+
     @mode.Service.task
     async def _follow(self) -> None:
         source = None
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -68,6 +68,8 @@
             self._log_outcome(request, "", table.version, outcome)
             return outcome
         outcome = await self._serve(request, route)
+        if _is_complete(outcome):
+            self._context.crashes.record_answer(request)
         self._log_outcome(request, route.name, table.version, outcome)
         return outcome
 
@@ -148,6 +150,13 @@
     )
 
 
+def _is_complete(outcome: _calls.Outcome) -> bool:
+    """Whether every service of a request has answered it."""
+    if isinstance(outcome, _calls.MergedAnswer):
+        return not outcome.missing
+    return isinstance(outcome, _calls.ServerAnswer)
+
+
 def _describe_outcome(outcome: _calls.Outcome) -> dict[str, object]:
     if isinstance(outcome, _calls.ServerAnswer):
         return {"outcome": "answered", "status": outcome.status}
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -33,6 +33,8 @@
     remaining_ms: float
     # The time in ms until the parts should have arrived; may be negative.
     target_remaining_ms: float
+    # The caller's client account, as in CallerRequest.
+    account: str = ""
     # Empty unless another host may have sent the request to servers; else the
     # server that it asked first for each shard, empty if that is unknown.
     asked: tuple[str, ...] = ()
@@ -56,6 +58,7 @@
             target=self.target,
             headers=self.headers,
             body=body,
+            account=self.account,
             received_ms=now_ms,
             deadline_ms=now_ms + self.remaining_ms,
         )
@@ -120,6 +123,7 @@
         target=request.target,
         headers=request.headers,
         body=base64.b64encode(request.body).decode(),
+        account=request.account,
         version=version,
         route=route,
         remaining_ms=deadline_ms - now_ms,
--- a/packages/gateway/cowslipvalve_gateway/_limithandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_limithandlers.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import attrs
 from aiohttp import web
 
 import cowslipvalve_base as base
@@ -9,6 +10,7 @@
 from cowslipvalve_gateway import _limitnews
 from cowslipvalve_gateway import _limitnotices
 from cowslipvalve_gateway import _permits
+from cowslipvalve_gateway import _quarantines
 
 _HTTP_BAD_REQUEST = 400
 
@@ -19,8 +21,12 @@
     """Answers other hosts that ask for permits or tell of limits."""
 
     def __init__(
-        self, limiter: _limiters.Limiter, news: _limitnews.LimitNews
+        self,
+        limiter: _limiters.Limiter,
+        news: _limitnews.LimitNews,
+        quarantine: _quarantines.Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._limiter = limiter
         self._news = news
 
@@ -44,7 +50,7 @@
         return web.Response()
 
     async def handle_query(self, request: web.BaseRequest) -> web.Response:
-        """Returns all limits that this host knows."""
+        """Returns all limits and quarantined requests of this host."""
         try:
             query = base.decode(_limitnotices.LimitQuery, await request.read())
         except base.InputError as error:
@@ -53,7 +59,9 @@
         base.log_event(
             _logger, "limits-told", peer=query.host, count=len(limits.limits)
         )
-        return _create_response(limits)
+        return _create_response(
+            attrs.evolve(limits, quarantined=self._quarantine.list_entries())
+        )
 
 
 def _create_response(message: object) -> web.Response:
@@ -74,12 +82,15 @@
 
 
 def create_limit_handler(
-    limiter: _limiters.Limiter, news: _limitnews.LimitNews
+    limiter: _limiters.Limiter,
+    news: _limitnews.LimitNews,
+    quarantine: _quarantines.Quarantine,
 ) -> LimitHandler:
     """Creates the handler of other hosts' messages about rate limits.
 
     Args:
       limiter: Gives permits.
       news: Takes notices.
+      quarantine: The requests that this host refuses.
     """
-    return LimitHandler(limiter, news)
+    return LimitHandler(limiter, news, quarantine)
--- a/packages/gateway/cowslipvalve_gateway/_limitnotices.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitnotices.py
@@ -4,6 +4,7 @@
 import attrs
 
 from cowslipvalve_gateway import _hostposts
+from cowslipvalve_gateway import _quarantines
 
 NOTICE_PATH = "/limit"
 QUERY_PATH = "/limits"
@@ -31,9 +32,10 @@
 
 @attrs.frozen(kw_only=True)
 class LimitList:
-    """The limits that a host knows."""
+    """The limits that a host knows, and the requests that it refuses."""
 
     limits: tuple[LimitNotice, ...]
+    quarantined: tuple[_quarantines.QuarantineEntry, ...] = ()
 
 
 class NoticeClient:
--- a/packages/gateway/cowslipvalve_gateway/_limitreaders.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitreaders.py
@@ -1,7 +1,8 @@
-"""Reads the rate limits that other hosts know, when this host starts.
+"""Reads what other hosts know of servers' limits, when this host starts.
 
 Answers the load of hosts that have just started: each of them would send
-requests beyond the limits before its first answers.
+requests beyond the rate limits, and those under which servers end, before its
+first answers.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from cowslipvalve_gateway import _limitholders
 from cowslipvalve_gateway import _limitnews
 from cowslipvalve_gateway import _limitnotices
+from cowslipvalve_gateway import _quarantines
 from cowslipvalve_gateway import _resources
 
 # How long requests wait for the limits: a round trip between regions over a new
@@ -40,6 +42,7 @@
         ranking: _limitholders.HolderRanking,
         client: _limitnotices.NoticeClient,
         news: _limitnews.LimitNews,
+        quarantine: _quarantines.Quarantine,
     ) -> None:
         super().__init__()
         self._catalog = catalog
@@ -47,6 +50,7 @@
         self._ranking = ranking
         self._client = client
         self._news = news
+        self._quarantine = quarantine
         self._done = asyncio.Event()
 
     @property
@@ -111,8 +115,13 @@
             )
             return
         self._news.receive_all(limits)
+        self._quarantine.add_all(limits.quarantined)
         base.log_event(
-            _logger, "limits-read", peer=host.name, count=len(limits.limits)
+            _logger,
+            "limits-read",
+            peer=host.name,
+            count=len(limits.limits),
+            quarantined=len(limits.quarantined),
         )
 
 
@@ -122,6 +131,7 @@
     ranking: _limitholders.HolderRanking,
     client: _limitnotices.NoticeClient,
     news: _limitnews.LimitNews,
+    quarantine: _quarantines.Quarantine,
 ) -> LimitReader:
     """Creates the service that reads the limits at the start of a host.
 
@@ -130,6 +140,7 @@
       clock: The clock of the process.
       ranking: The hosts that ask a server.
       client: Asks other hosts.
-      news: Takes what they know.
+      news: Takes the rate limits that they know.
+      quarantine: Takes the requests that they refuse.
     """
-    return LimitReader(catalog, clock, ranking, client, news)
+    return LimitReader(catalog, clock, ranking, client, news, quarantine)
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -102,6 +102,23 @@
                 _logger, "not-prepared", server=self.address, error=error
             )
 
+    async def is_refused(self, timeout_ms: float) -> bool:
+        """Whether no process accepts connections at the server's address.
+
+        Without an answer that is not known, and taken for no. A connection
+        that is accepted is kept for requests.
+        """
+        if self._open >= self.max_connections:
+            return False
+        try:
+            async with asyncio.timeout(base.to_seconds(timeout_ms)):
+                self.release(await self._connect())
+        except TimeoutError:
+            return False
+        except _errors.UnsentError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        return False
+
     def release(self, connection: _connections.ServerConnection) -> None:
         """Returns a connection to the pool, or closes it.
 
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -1,15 +1,20 @@
 """This host's replica of the state, fed by the store or by another host."""
 
+import logging
+
 import attrs
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _quarantines
 from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _stores
 
 _STORE_RETURN_GRACE_MS = 2_500.0  # Lapsed registrations are renewed within 2 s.
 _MAX_AGE_MS = 3_600_000.0  # JSON and logs cannot represent infinity.
 
+_logger = logging.getLogger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class Update:
@@ -31,6 +36,8 @@
     grace_ms: float
     # The changes that the receiver lacks.
     updates: tuple[Update, ...]
+    # The requests that all hosts refuse, as servers end under them.
+    quarantined: tuple[_quarantines.QuarantineEntry, ...] = ()
 
 
 class StateReplica:
@@ -40,14 +47,21 @@
       log: The state with its latest changes, for other hosts to read.
       catalog: The state by which requests are served.
       is_watching: Whether this host watches the store itself.
+      quarantine: The requests that all hosts refuse.
       confirmed_ms: When the store last confirmed the state, on the process's
         clock.
     """
 
-    def __init__(self, catalog: _catalogs.Catalog, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        catalog: _catalogs.Catalog,
+        clock: base.Clock,
+        quarantine: _quarantines.Quarantine,
+    ) -> None:
         self._clock = clock
         self.log = _statelogs.create_state_log()
         self.catalog = catalog
+        self.quarantine = quarantine
         self.is_watching = False
         self.confirmed_ms = float("-inf")
         self._grace_until_ms = float("-inf")
@@ -81,6 +95,7 @@
     def apply_message(self, message: StateMessage) -> None:
         """Applies a message from another host."""
         now_ms = self._clock.now_ms()
+        self.apply_quarantine(message)
         self.confirmed_ms = max(self.confirmed_ms, now_ms - message.age_ms)
         self._grace_until_ms = max(
             self._grace_until_ms, now_ms + message.grace_ms
@@ -88,6 +103,13 @@
         for update in message.updates:
             self.apply_listing(update.kind, update.listing)
 
+    def apply_quarantine(self, message: StateMessage) -> None:
+        """Applies only the quarantined requests of a message."""
+        for fingerprint in self.quarantine.add_all(message.quarantined):
+            base.log_event(
+                _logger, "quarantine-learned", fingerprint=fingerprint
+            )
+
     def build_message(
         self, revisions: _statelogs.Revisions | None
     ) -> StateMessage:
@@ -104,6 +126,7 @@
                 Update(kind=kind, listing=listing)
                 for kind, listing in lacking.items()
             ),
+            quarantined=self.quarantine.list_entries(),
         )
 
     def _compute_remaining_grace_ms(self) -> float:
@@ -140,7 +163,21 @@
 
 
 def create_state_replica(
-    catalog: _catalogs.Catalog, clock: base.Clock
+    catalog: _catalogs.Catalog,
+    clock: base.Clock,
+    quarantine: _quarantines.Quarantine | None = None,
 ) -> StateReplica:
-    """Creates an empty replica."""
-    return StateReplica(catalog, clock)
+    """Creates an empty replica.
+
+    Args:
+      catalog: The state by which requests are served.
+      clock: The clock of the process.
+      quarantine: The requests that this host refuses; None for an own one.
+    """
+    return StateReplica(
+        catalog,
+        clock,
+        _quarantines.create_quarantine(clock)
+        if quarantine is None
+        else quarantine,
+    )
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -116,6 +116,9 @@
         """Starts an attempt, or waits until a cold server may get it."""
         if self.is_settled or self._start_attempt():
             return
+        if self.reason is _calls.RefusalReason.QUARANTINED:
+            self._settle()
+            return
         if not self._wait_for_cold_server():
             self._note_exhausted_limits()
             self._settle()
@@ -149,6 +152,9 @@
 
     def _start_attempt(self, is_hedge: bool = False) -> bool:
         """Starts an attempt if there is a server and the budget allows it."""
+        if self._context.crashes.blocks(self._request, self.service):
+            self.reason = _calls.RefusalReason.QUARANTINED
+            return False
         unsent = sum(1 for a in self._running if a.sent_ms is None)
         if self.attempts + unsent >= self._route.max_attempts:
             return False
@@ -229,6 +235,7 @@
             raise
         else:
             self.has_run = True
+            self._context.crashes.record_part(self._request, self.service)
             self._accept_answer(attempt, answer)
         finally:
             if attempt in self._running:
@@ -300,6 +307,8 @@
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
         self._running.remove(attempt)
+        if isinstance(error, _errors.BrokenConnectionError):
+            self._context.crashes.record_loss(attempt.view, self._request)
         if not isinstance(
             error, (_errors.PoolBusyError, _errors.RateLimitedError)
         ):
@@ -319,6 +328,8 @@
     def _retry(self) -> bool:
         if self._start_attempt():
             return True
+        if self.reason is _calls.RefusalReason.QUARANTINED:
+            return False
         if self.attempts >= self._route.max_attempts or not self._tried:
             return False
         if self._wait_for_cold_server():
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -40,4 +40,7 @@
         raise
     if call.answer is not None:
         return call.answer
-    return _refusals.create_refusal(call.reason, call.has_run, call.wait_ms)
+    wait_ms = call.wait_ms
+    if call.reason is _calls.RefusalReason.QUARANTINED:
+        wait_ms = context.crashes.compute_remaining_ms(request)
+    return _refusals.create_refusal(call.reason, call.has_run, wait_ms)
--- a/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -22,6 +22,16 @@
     ]
 
 
+def choose_first_watchers(
+    hosts: Mapping[str, _resources.HostRecord],
+) -> set[str]:
+    """Returns the state address of one watcher of each failure domain."""
+    domains = {host.domain for host in hosts.values()}
+    return {
+        choose_watchers(hosts, domain)[0].state_address for domain in domains
+    }
+
+
 class WatcherChoice:
     """Decides whether a host watches the store and which hosts it queries.
 
--- a/packages/gateway/cowslipvalve_gateway/tests/test_limitreaders.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_limitreaders.py
@@ -115,7 +115,12 @@
             gateway.create_host_health(self.clock),
         )
         reader = gateway.create_limit_reader(
-            self.catalog, self.clock, ranking, client, news
+            self.catalog,
+            self.clock,
+            ranking,
+            client,
+            news,
+            gateway.create_quarantine(self.clock),
         )
         await reader.start()
         self.addAsyncCleanup(reader.stop)
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -71,7 +71,7 @@
       connections: The number of connections that were accepted.
       address: The address that the server listens on, empty before the start.
       records: The records of this server's shard.
-      has_crashed: Whether a request has ended the server.
+      crashed: Set once a request has ended the server.
     """
 
     def __init__(self, instance_id: str, records: tuple[bytes, ...]) -> None:
@@ -83,7 +83,7 @@
         self.proofs: dict[str, str] = {}
         self.connections = 0
         self.address = ""
-        self.has_crashed = False
+        self.crashed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._connection_tasks: set[asyncio.Task[None]] = set()
 
@@ -106,7 +106,7 @@
     def crash(self) -> None:
         """Ends at once, as a process that is killed."""
         assert self._server is not None
-        self.has_crashed = True
+        self.crashed.set()
         self._server.close()
         for task in self._connection_tasks:
             task.cancel()
