--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -1,6 +1,7 @@
 """Stand-in of the users' store that implements its published protocol."""
 
 import asyncio
+import copy
 from typing import Any
 
 import attrs
@@ -32,6 +33,14 @@
     slow_ms: float = 0.0
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held at some time."""
+
+    revision: int
+    objects: dict[str, dict[str, Any]]
+
+
 class WireStore:
     """An in-memory object store with revisions, paged lists and watches.
 
@@ -44,6 +53,7 @@
         self.faults = StoreFaults()
         self.total_cost = 0.0
         self._revision = 1
+        self._era = 1
         self._oldest_revision = 1
         self._objects: dict[str, dict[str, Any]] = {}
         self._history: list[tuple[int, str, bool, Any]] = []
@@ -75,6 +85,23 @@
             self._revision += 1
             self._record_change(kind, True, item)
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy, to restore the store from."""
+        return StoreCopy(self._revision, copy.deepcopy(self._objects))
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Forgets all changes since a copy; their revisions come again."""
+        self._revision = kept.revision
+        self._objects = copy.deepcopy(kept.objects)
+        self._era += 1
+        self.drop_history()
+        self._history_changed.set()
+        self._history_changed = asyncio.Event()
+
+    def find_names(self, kind: str) -> set[str]:
+        """Returns the names of the objects of a kind."""
+        return set(self._objects.get(kind, {}))
+
     def drop_history(self) -> None:
         """Drops the change history; watches from an older revision get 410."""
         self._history.clear()
@@ -110,6 +137,7 @@
         if request.match_info.get("kind") == faults.slow_kind:
             await asyncio.sleep(faults.slow_ms / _MS_PER_S)
         response = await handler(request)
+        response.headers["Store-Era"] = str(self._era)
         if self.faults.is_silent and port in self.faults.ports:
             # A fault of given ports also holds up calls that began before it.
             await asyncio.sleep(60)
@@ -134,7 +162,7 @@
         wait_s = int(request.query["wait-ms"]) / _MS_PER_S
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
-            if revision < self._oldest_revision:
+            if not self._oldest_revision <= revision <= self._revision:
                 return web.Response(status=410)
             events = [
                 {"deleted": deleted, "object": item}
