Order the state by era and revision, and keep what a restored store lacks

Cause: the position of the state was the revision, which a restore takes back. Each listing was refused as old, the next watch got 410, and the watcher listed again without end. Ruled out by the logs: a store that can't be read; hosts that go back to the copy.

Change: a position is (era, revision), from Store-Era, also between hosts. A later era is taken with a whole listing only. A refused listing is logged and followed by a pause.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -124,6 +124,7 @@
 from cowslipvalve_gateway._quarantines import create_quarantine
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
+from cowslipvalve_gateway._stores import Position
 from cowslipvalve_gateway._stores import StateKind
 from cowslipvalve_gateway._stores import StateItem
 from cowslipvalve_gateway._stores import StateListing
@@ -185,6 +186,7 @@
     "PermitClient",
     "PermitReply",
     "PermitRequest",
+    "Position",
     "QUERY_PATH",
     "Quarantine",
     "QuarantineEntry",
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -18,6 +18,7 @@
 from cowslipvalve_gateway import _hostclients
 from cowslipvalve_gateway import _replicas
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _stores
 from cowslipvalve_gateway import _watcherchoices
 from cowslipvalve_gateway import _watchers
@@ -39,8 +40,10 @@
 # Each change of source costs several calls.
 _SOURCE_SEARCH_INTERVAL_MS = 3_000.0
 _NEAR_SOURCE_RETRY_MS = 5_000.0
-# Watchers that missed a report learn the quarantined requests from others.
-_QUARANTINE_INTERVAL_MS = 2_000.0
+# Watchers learn from each other what the store cannot tell them.
+_COMPARE_INTERVAL_MS = 2_000.0
+_FIRST_COMPARE_MS = 100.0
+_REGISTRATION_CHECK_MS = 500.0
 _FIRST_BACKOFF_MS = 100.0
 _MAX_BACKOFF_MS = 2_000.0
 
@@ -78,9 +81,11 @@
         # A start counts as a return: the regular watchers go first.
         self._store_lost_ms = clock.now_ms()
         self._near_searched_ms = float("-inf")
+        self._has_left = False
 
     async def unregister(self) -> None:
         """Removes this host's record, which frees its share of the limits."""
+        self._has_left = True
         self._replica.catalog.own_registered_ms = math.inf
         try:
             await self._sources.store.unregister_host(self._own.name)
@@ -91,16 +96,28 @@
 
     @mode.Service.task
     async def _register(self) -> None:
-        """Registers this host, so that the others count and can query it."""
+        """Registers this host, so that the others count and can query it.
+
+        Again whenever the store was restored, which may lack the record.
+        """
+        if await self._register_once():
+            now_ms = self._clock.now_ms()
+            self._replica.catalog.own_registered_ms = now_ms
+        era = self._replica.log.era
+        while not self.should_stop:
+            await self._clock.sleep_ms(_REGISTRATION_CHECK_MS)
+            if 0 <= era < self._replica.log.era:
+                await self._register_once()
+            era = self._replica.log.era
+
+    async def _register_once(self) -> bool:
+        """Writes the record of this host; returns whether there was none."""
         backoff_ms = _FIRST_BACKOFF_MS
         is_new = False
-        while not self.should_stop:
+        while not self.should_stop and not self._has_left:
             try:
                 is_new |= await self._sources.store.register_host(self._own)
-                if is_new:
-                    now_ms = self._clock.now_ms()
-                    self._replica.catalog.own_registered_ms = now_ms
-                return
+                return is_new
             except base.PlatformError as error:
                 is_new = True  # The call may have taken effect.
                 base.log_event(
@@ -108,19 +125,33 @@
                 )
             await self._clock.sleep_ms(backoff_ms)
             backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
+        return False
 
     @mode.Service.task
-    async def _read_quarantines(self) -> None:
-        """Reads the quarantined requests of other watchers in turn."""
+    async def _compare(self) -> None:
+        """Reads what other watchers know beside the store, in turn.
+
+        That are quarantined requests, and a routing table that a restored
+        store does not hold yet.
+        """
         while not self.should_stop:
-            if self._replica.is_watching:
-                far = self._sources.choice.far_sources(
-                    self._replica.catalog.hosts
-                )
-                message = far and await self._fetch_age(random.choice(far))
-                if message:
-                    self._replica.apply_quarantine(message)
-            await self._clock.sleep_ms(_QUARANTINE_INTERVAL_MS)
+            catalog = self._replica.catalog
+            far = self._sources.choice.far_sources(catalog.hosts)
+            if not (self._replica.is_watching and catalog.is_complete and far):
+                await self._clock.sleep_ms(_FIRST_COMPARE_MS)
+                continue
+            source = random.choice(far)
+            message = await self._fetch_age(source)
+            if message is not None:
+                self._replica.apply_quarantine(message)
+                if message.version > catalog.get_table_version():
+                    await self._take_table(source)
+            await self._clock.sleep_ms(_COMPARE_INTERVAL_MS)
+
+    async def _take_table(self, source: str) -> None:
+        message = await self._fetch_all(source, {})
+        if message is not None:
+            self._replica.take_table(message)
 
     @mode.Service.task
     async def _follow(self) -> None:
@@ -266,16 +297,23 @@
 
     async def _fetch_once(self, source: str) -> None:
         """Fetches and applies the state of another host once."""
+        message = await self._fetch_all(source, self._replica.log.positions)
+        if message is not None:
+            self._replica.apply_message(message)
+
+    async def _fetch_all(
+        self, source: str, positions: _statelogs.Positions
+    ) -> _replicas.StateMessage | None:
+        """Fetches the state of another host after the given positions."""
         try:
-            message = await self._sources.hosts.fetch(
-                source, self._replica.log.revisions, 0, _FETCH_TIMEOUT_MS
+            return await self._sources.hosts.fetch(
+                source, positions, 0, _FETCH_TIMEOUT_MS
             )
         except _errors.HostUnavailableError as error:
             base.log_event(
                 _logger, "state-not-taken", logging.WARNING, error=error
             )
-            return
-        self._replica.apply_message(message)
+            return None
 
     async def _follow_host(self, source: str) -> None:
         """Polls a host until it fails, is stale, or a nearer one may exist."""
@@ -289,7 +327,7 @@
             try:
                 message = await self._sources.hosts.fetch(
                     source,
-                    self._replica.log.revisions,
+                    self._replica.log.positions,
                     _LONG_POLL_MS,
                     _FETCH_TIMEOUT_MS,
                 )
--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -17,6 +17,7 @@
 STATE_PATH = "/state"
 STATE_AGE_PATH = "/state/age"
 _WAIT_PARAMETER = "waitMs"
+_ERA_SUFFIX = "Era"
 _MAX_WAIT_MS = 5_000
 # Longer messages are compressed, because links between hosts are slow: a new
 # configuration with its servers for ten followers, 1 MB uncompressed, delayed a
@@ -37,22 +38,25 @@
     async def fetch(
         self,
         address: str,
-        revisions: _statelogs.Revisions,
+        positions: _statelogs.Positions,
         wait_ms: int,
         timeout_ms: float,
     ) -> _replicas.StateMessage:
-        """Fetches a host's changes after the given revisions.
+        """Fetches a host's changes after the given positions.
 
         Args:
           address: The state address of the host.
-          revisions: The revision of each kind that is already known.
+          positions: The position of each kind that is already known.
           wait_ms: How long the host waits for a change before it answers.
           timeout_ms: How long to wait for the answer.
 
         Raises:
           HostUnavailableError: The host did not return a valid answer.
         """
-        query = {kind.value: str(value) for kind, value in revisions.items()}
+        query: dict[str, str] = {}
+        for kind, position in positions.items():
+            query[kind.value] = str(position.revision)
+            query[kind.value + _ERA_SUFFIX] = str(position.era)
         query[_WAIT_PARAMETER] = str(wait_ms)
         return await self._get(address, STATE_PATH, query, timeout_ms)
 
@@ -117,15 +121,38 @@
         if request.path != STATE_PATH:
             return web.Response(status=_HTTP_NOT_FOUND)
         try:
-            revisions = _read_revisions(request.query)
+            positions = self._read_positions(request.query)
             wait_ms = int(request.query.get(_WAIT_PARAMETER, "0"))
         except ValueError as error:
             return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
         if self._replica.is_watching:
             await self._replica.log.wait_for_changes(
-                revisions, min(wait_ms, _MAX_WAIT_MS)
+                positions, min(wait_ms, _MAX_WAIT_MS)
             )
-        return _create_response(self._replica.build_message(revisions))
+        return _create_response(self._replica.build_message(positions))
+
+    def _read_positions(
+        self, query: Mapping[str, str]
+    ) -> dict[_stores.StateKind, _stores.Position]:
+        """Returns the positions of a query; without an era, in the known one.
+
+        Raises:
+          ValueError: A revision or an era is not a number.
+        """
+        return {
+            kind: _stores.Position(
+                era=int(
+                    query.get(kind.value + _ERA_SUFFIX, self._find_era(kind))
+                ),
+                revision=int(query[kind.value]),
+            )
+            for kind in _stores.StateKind
+            if kind.value in query
+        }
+
+    def _find_era(self, kind: _stores.StateKind) -> int:
+        known = self._replica.log.position(kind)
+        return known.era if known else 0
 
 
 def _create_response(message: _replicas.StateMessage) -> web.Response:
@@ -137,14 +164,6 @@
     return web.Response(body=body, headers=headers)
 
 
-def _read_revisions(query: Mapping[str, str]) -> dict[_stores.StateKind, int]:
-    return {
-        kind: int(query[kind.value])
-        for kind in _stores.StateKind
-        if kind.value in query
-    }
-
-
 def create_host_client(session: aiohttp.ClientSession) -> HostClient:
     """Creates a client for other hosts."""
     return HostClient(session)
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -7,6 +7,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _quarantines
+from cowslipvalve_gateway import _restores
 from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _stores
 
@@ -36,6 +37,8 @@
     grace_ms: float
     # The changes that the receiver lacks.
     updates: tuple[Update, ...]
+    # The version of the sender's routing table, 0 if it has none.
+    version: int = 0
     # The requests that all hosts refuse, as servers end under them.
     quarantined: tuple[_quarantines.QuarantineEntry, ...] = ()
 
@@ -65,6 +68,8 @@
         self.is_watching = False
         self.confirmed_ms = float("-inf")
         self._grace_until_ms = float("-inf")
+        # The repairs in progress after a restore of the store.
+        self._repairs: dict[_stores.StateKind, _restores.Repair] = {}
 
     @property
     def age_ms(self) -> float:
@@ -77,10 +82,71 @@
 
     def apply_listing(
         self, kind: _stores.StateKind, listing: _stores.StateListing
-    ) -> None:
-        """Applies a listing unless it is older than the known state."""
+    ) -> bool:
+        """Applies a listing; returns False if it is older than the state."""
+        if kind is _stores.StateKind.CONFIGURATION:
+            known = self.log.list_last(kind)
+            listing = _restores.keep_newest_table(known, listing)
+        self._prepare_repair(kind, listing)
         if not self.log.add(kind, listing):
+            base.log_event(
+                _logger,
+                "listing-refused",
+                logging.WARNING,
+                kind=kind.value,
+                revision=listing.revision,
+                era=listing.era,
+                known=self.log.position(kind),
+            )
+            return False
+        repair = self._repairs.get(kind)
+        self._apply(kind, repair.apply(listing) if repair else listing)
+        return True
+
+    def _prepare_repair(
+        self, kind: _stores.StateKind, listing: _stores.StateListing
+    ) -> None:
+        """Begins a repair if a listing is the first one after a restore."""
+        if not listing.is_whole or not self.log.is_restored(kind, listing):
+            return
+        base.log_event(
+            _logger,
+            "store-restored",
+            logging.WARNING,
+            kind=kind.value,
+            revision=listing.revision,
+            era=listing.era,
+            known=self.log.position(kind),
+        )
+        self.start_grace_period()
+        if kind is _stores.StateKind.CONFIGURATION:
             return
+        known = self.log.list_last(kind)
+        if kind in self._repairs:
+            known |= self._repairs[kind].known
+        end_ms = self._clock.now_ms() + _restores.REPAIR_MS
+        self._repairs[kind] = _restores.Repair(kind, known, end_ms)
+
+    def end_repairs(self) -> None:
+        """Goes by the store's state alone once repairs are over."""
+        now_ms = self._clock.now_ms()
+        for kind, repair in list(self._repairs.items()):
+            if repair.end_ms <= now_ms:
+                del self._repairs[kind]
+                self._apply(kind, self.log.read_all(kind))
+
+    def take_table(self, message: StateMessage) -> None:
+        """Takes a newer routing table than the restored store may have."""
+        for update in message.updates:
+            for item in update.listing.items:
+                table = item.table
+                if table and table.version > self.catalog.get_table_version():
+                    self.log.replace(_stores.StateKind.CONFIGURATION, item)
+                    self.catalog.set_table(table)
+
+    def _apply(
+        self, kind: _stores.StateKind, listing: _stores.StateListing
+    ) -> None:
         if kind is _stores.StateKind.CONFIGURATION:
             for item in listing.items:
                 if item.table is not None:
@@ -111,13 +177,13 @@
             )
 
     def build_message(
-        self, revisions: _statelogs.Revisions | None
+        self, positions: _statelogs.Positions | None
     ) -> StateMessage:
-        """Builds a message with the changes after the given revisions.
+        """Builds a message with the changes after the given positions.
 
-        Without revisions the message holds only the age of the state.
+        Without positions the message holds only the age of the state.
         """
-        lacking = {} if revisions is None else self.log.read_after(revisions)
+        lacking = {} if positions is None else self.log.read_after(positions)
         return StateMessage(
             is_watching=self.is_watching,
             age_ms=self.age_ms,
@@ -126,6 +192,7 @@
                 Update(kind=kind, listing=listing)
                 for kind, listing in lacking.items()
             ),
+            version=self.catalog.get_table_version(),
             quarantined=self.quarantine.list_entries(),
         )
 
@@ -135,7 +202,7 @@
     def _apply_servers(self, listing: _stores.StateListing) -> None:
         grace_ms = self._compute_remaining_grace_ms()
         for item in listing.items:
-            if item.server is not None:
+            if item.server is not None and item.is_valid:
                 self.catalog.put_server(item.server)
             elif not item.is_valid:
                 self.catalog.drop_server(item.name, grace_ms)
@@ -155,7 +222,7 @@
     def _apply_hosts(self, listing: _stores.StateListing) -> None:
         hosts = {} if listing.is_whole else dict(self.catalog.hosts)
         for item in listing.items:
-            if item.host is not None:
+            if item.host is not None and item.is_valid:
                 hosts[item.name] = item.host
             else:
                 hosts.pop(item.name, None)
--- a/packages/gateway/cowslipvalve_gateway/_stores.py
+++ b/packages/gateway/cowslipvalve_gateway/_stores.py
@@ -17,6 +17,23 @@
     HOSTS = "hosts"
 
 
+@attrs.frozen(order=True)
+class Position:
+    """A point in the store's history.
+
+    Attributes:
+      era: Rises whenever the store is restored from a copy, which takes its
+        revisions back.
+      revision: Rises with each change in an era.
+    """
+
+    era: int
+    revision: int
+
+
+NO_POSITION = Position(era=-1, revision=-1)
+
+
 @attrs.frozen(kw_only=True)
 class StateItem:
     """One decoded object; at most one of table, server and host is set."""
@@ -43,6 +60,13 @@
     revision: int
     # Whether the items are all objects of the kind, not only the changes.
     is_whole: bool
+    # The era of the revision; None if the sender states none.
+    era: int | None = None
+
+    def get_position(self, known_era: int) -> Position:
+        """Returns the position; without an era, one in a known era."""
+        era = max(0, known_era) if self.era is None else self.era
+        return Position(era=era, revision=self.revision)
 
 
 class StateStore(Protocol):
@@ -60,8 +84,12 @@
     ) -> StateListing:
         """Returns the changes after a revision, or none after the wait."""
 
-    async def probe(self, timeout_ms: float) -> None:
-        """Checks that the store answers, at a tenth of another call's cost."""
+    async def probe(self, timeout_ms: float) -> int | None:
+        """Checks that the store answers, at a tenth of another call's cost.
+
+        Returns:
+          The era that the answer states, None if it states none.
+        """
 
     async def register_host(self, record: _resources.HostRecord) -> bool:
         """Adds the record of this host; returns whether there was none."""
--- a/packages/gateway/cowslipvalve_gateway/_upkeeps.py
+++ b/packages/gateway/cowslipvalve_gateway/_upkeeps.py
@@ -5,7 +5,7 @@
 import mode
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _replicas
 
 _LAPSE_CHECK_MS = 250.0
 _PREPARE_CHECK_MS = 100.0
@@ -16,9 +16,12 @@
 class CatalogMaintenance(mode.Service):
     """Removes lapsed servers and opens connections ahead of requests."""
 
-    def __init__(self, catalog: _catalogs.Catalog, clock: base.Clock) -> None:
+    def __init__(
+        self, replica: _replicas.StateReplica, clock: base.Clock
+    ) -> None:
         super().__init__()
-        self._catalog = catalog
+        self._replica = replica
+        self._catalog = replica.catalog
         self._clock = clock
 
     @mode.Service.task
@@ -26,6 +29,7 @@
         while not self.should_stop:
             await self._clock.sleep_ms(_LAPSE_CHECK_MS)
             self._catalog.remove_lapsed()
+            self._replica.end_repairs()
 
     @mode.Service.task
     async def _prepare_connections(self) -> None:
@@ -37,7 +41,7 @@
 
 
 def create_catalog_maintenance(
-    catalog: _catalogs.Catalog, clock: base.Clock
+    replica: _replicas.StateReplica, clock: base.Clock
 ) -> CatalogMaintenance:
-    """Creates the maintenance service of a host's catalog."""
-    return CatalogMaintenance(catalog, clock)
+    """Creates the maintenance service of a host's replica and catalog."""
+    return CatalogMaintenance(replica, clock)
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -90,19 +90,22 @@
             await self._clock.sleep_ms(_PROBE_INTERVAL_MS)
             sent_ms = self._clock.now_ms()
             try:
-                await self._store.probe(PROBE_TIMEOUT_MS)
+                era = await self._store.probe(PROBE_TIMEOUT_MS)
             except base.PlatformError as error:
                 self._record_loss("probe", error)
                 continue
+            if era is not None and self._replica.log.is_behind(era):
+                self._expect_restored_state()
+                continue
             self._answered_call_ms = sent_ms
             if self._is_lost:
-                self._end_long_watches()
+                self._end_watches()
             self._confirm_state()
 
     async def _follow(self, kind: _stores.StateKind) -> None:
         """Lists one kind of state if necessary, then watches it."""
         backoff_ms = _FIRST_BACKOFF_MS
-        must_list = self._replica.log.revision(kind) is None
+        must_list = self._replica.log.position(kind) is None
         while True:
             sent_ms = self._clock.now_ms()
             try:
@@ -120,10 +123,18 @@
                 continue
             if listing is None:  # A probe found the store available again.
                 continue
-            must_list = False
-            backoff_ms = _FIRST_BACKOFF_MS
+            must_list = not listing.is_whole and self._replica.log.is_restored(
+                kind, listing
+            )
+            if must_list:
+                self._expect_restored_state()
+                continue
             self._record_answer(kind, sent_ms)
-            self._replica.apply_listing(kind, listing)
+            if not self._replica.apply_listing(kind, listing):
+                await self._clock.sleep_ms(backoff_ms)
+                backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
+                continue
+            backoff_ms = _FIRST_BACKOFF_MS
             self._confirm_state()
             if listing.items:
                 await self._clock.sleep_ms(_BURST_DELAY_MS[kind])
@@ -132,13 +143,15 @@
         self, kind: _stores.StateKind, must_list: bool
     ) -> _stores.StateListing | None:
         """Lists or watches a kind; returns None if a watch was cancelled."""
-        revision = self._replica.log.revision(kind)
-        if must_list or revision is None:
+        position = self._replica.log.position(kind)
+        if must_list or position is None:
             return await self._store.list_objects(kind)
         # After a loss, a short watch soon shows that the store answers again.
         is_long = kind in self._confirmed
         wait_ms = _WATCH_WAIT_MS[kind] if is_long else _RECOVERY_WATCH_WAIT_MS
-        task = asyncio.ensure_future(self._store.watch(kind, revision, wait_ms))
+        task = asyncio.ensure_future(
+            self._store.watch(kind, position.revision, wait_ms)
+        )
         self._watches[kind] = _Watch(task, is_long)
         try:
             await asyncio.wait((task,))
@@ -147,8 +160,17 @@
             task.cancel()
         return None if task.cancelled() else task.result()
 
-    def _end_long_watches(self) -> None:
-        """Cancels long watches, whose answers a network cut may delay."""
+    def _expect_restored_state(self) -> None:
+        """Lets all kinds find out that the store was restored."""
+        self._confirmed.clear()
+        self._end_watches()
+
+    def _end_watches(self) -> None:
+        """Cancels long watches.
+
+        A network cut may delay their answers, and a restored store does not
+        answer what they wait for.
+        """
         for watch in self._watches.values():
             if watch.is_long:
                 watch.task.cancel()
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -132,6 +132,13 @@
         self.assertEqual(catalog.count_servers(), 0)
 
 
+def _create_positions(
+    revision: int, era: int = 0
+) -> dict[gateway.StateKind, gateway.Position]:
+    position = gateway.Position(era=era, revision=revision)
+    return {gateway.StateKind.SERVERS: position}
+
+
 class StateLogTest(unittest.TestCase):
     """What hosts send to others is complete and never reverts."""
 
@@ -158,7 +165,7 @@
 
     def read(self, revision: int) -> tuple[bool, set[str], set[str]]:
         """Returns whether a listing is whole, its objects and its deletions."""
-        listing = self.log.read_after({gateway.StateKind.SERVERS: revision})[
+        listing = self.log.read_after(_create_positions(revision))[
             gateway.StateKind.SERVERS
         ]
         return (
@@ -172,9 +179,7 @@
         self.add(20, "c", a=True)
         self.assertEqual(self.read(-1), (True, {"b", "c"}, set()))
         self.assertEqual(self.read(10), (False, {"c"}, {"a"}))
-        self.assertEqual(
-            self.log.read_after({gateway.StateKind.SERVERS: 20}), {}
-        )
+        self.assertEqual(self.log.read_after(_create_positions(20)), {})
 
     def test_second_whole_listing_is_read_as_changes(self) -> None:
         self.add(10, "a", "b", is_whole=True)
@@ -192,6 +197,33 @@
         self.assertFalse(self.add(19, a=True))
         self.assertEqual(self.read(-1), (True, {"a"}, set()))
 
+    def test_state_of_a_later_era_is_read_as_a_whole(self) -> None:
+        kind = gateway.StateKind.SERVERS
+        self.add(20, "a", is_whole=True)
+        for era, is_whole, is_added in (
+            (1, False, False),
+            (1, True, True),
+            (0, True, False),
+        ):
+            listing = gateway.StateListing(
+                items=(_create_item("b", 9),),
+                revision=9,
+                era=era,
+                is_whole=is_whole,
+            )
+            self.assertEqual(self.log.add(kind, listing), is_added)
+        for positions in (
+            {},
+            _create_positions(20),
+            _create_positions(5),
+            _create_positions(9),
+        ):
+            listing = self.log.read_after(positions)[kind]
+            self.assertTrue(listing.is_whole)
+            self.assertEqual([item.name for item in listing.items], ["b"])
+        self.assertEqual(self.log.read_after(_create_positions(9, 1)), {})
+        self.assertEqual(self.log.read_after(_create_positions(1, 2)), {})
+
     def test_purged_deletions_require_a_whole_listing(self) -> None:
         self.add(10, "a", is_whole=True)
         for number in range(1_001):
