Let one odd entry hide no other, and take no unusable address

What operators of similar systems saw: machines that read one odd entry among the servers ended or stopped following the list. Here one value nested 1,100 deep, out of range or not Unicode made hosts refuse each answer that held it; addresses with ports out of range or NUL were called, which raised ValueError or OverflowError out of the attempt's task.

Cause: one decoder for a document of several writers; addresses checked by shape only.

Change: what the usual decoder refuses is decoded again with unusable values as None; addresses of servers and hosts need a host and a port from 1 to 65535, capacities a bound; errors of connecting to unusable addresses count as unsent. Ruled out: passing over the whole listing until the entry is gone (as before), a streaming parser (a further library for a rare case).

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -1,5 +1,6 @@
 """Shared clock, JSON codec, errors, log events and settings loading."""
 
+from cowslipvalve_base._addresses import check_address
 from cowslipvalve_base._addresses import split_address
 from cowslipvalve_base._clock import Clock
 from cowslipvalve_base._clock import create_clock
@@ -14,6 +15,7 @@
 from cowslipvalve_base._codec import decode_plain
 from cowslipvalve_base._cutoffs import Cutoff
 from cowslipvalve_base._cutoffs import create_cutoff
+from cowslipvalve_base._damage import decode_damaged
 from cowslipvalve_base._errors import CowslipvalveError
 from cowslipvalve_base._errors import SettingsError
 from cowslipvalve_base._errors import InputError
@@ -57,16 +59,18 @@
     "SettingsError",
     "TextEnum",
     "UnknownOutcomeError",
-    "from_plain_strict",
+    "check_address",
     "choose_name",
     "compute_fraction",
     "create_clock",
     "create_cutoff",
     "decode",
+    "decode_damaged",
     "decode_plain",
     "encode",
     "encode_plain",
     "from_plain",
+    "from_plain_strict",
     "load_settings",
     "log_event",
     "rank_names",
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -170,7 +170,8 @@
                     host,
                     port,
                 )
-        except OSError as error:  # TimeoutError is an OSError.
+        # TimeoutError is an OSError; the others are of unusable addresses.
+        except (OSError, ValueError, OverflowError) as error:
             self._open -= 1
             raise _errors.UnsentError(
                 f"cannot connect: {error!r}", step="connect", peer=self.address
--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -46,11 +46,13 @@
 
     Attributes:
       faults: The current faults.
+      raw_values: JSON values by the strings in whose place they are sent.
       total_cost: The cost of all calls so far: 0.1 for a stale read, else 1.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
+        self.raw_values: dict[str, bytes] = {}
         self.total_cost = 0.0
         self._revision = 1
         self._era = 1
@@ -138,6 +140,8 @@
             await asyncio.sleep(faults.slow_ms / _MS_PER_S)
         response = await handler(request)
         response.headers["Store-Era"] = str(self._era)
+        for mark, value in self.raw_values.items() if response.body else ():
+            response.body = response.body.replace(f'"{mark}"'.encode(), value)
         if self.faults.is_silent and port in self.faults.ports:
             # A fault of given ports also holds up calls that began before it.
             await asyncio.sleep(60)
