Leave servers alone that leave or reject for a while

Cause: neither header was read.

Change: a server's withdrawal is part of what a host knows of one start of it; it is checked when a server is chosen and again before a request is written, outlives a registration that lapses, and ends with a new start. Hosts of a group tell which servers leave. If only paused servers are left, single and gathered requests are refused at once with the rest of the pause.

Before: the headers were not read, so test_withdrawals can't pass. Now 8 of 8, gateway tests 77 passed.

--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -37,9 +37,10 @@
     waits_ms: list[float] = []
     for service in route.shards:
         views = context.selector.find_usable(route, service)
-        usable += bool(views)
-        wait_ms = _compute_wait_ms(context, route, service, views)
-        if views and wait_ms > 0.0:
+        pause_ms = context.selector.find_pause_ms(route, service)
+        usable += bool(views or pause_ms)
+        wait_ms = pause_ms or _compute_wait_ms(context, route, service, views)
+        if (views or pause_ms) and wait_ms > 0.0:
             waits_ms.append(wait_ms)
     available = usable - len(waits_ms)
     if route.meets_coverage(available):
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -10,10 +10,10 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _groupplans
-from cowslipvalve_gateway import _limitmemories
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _statementmemories
 
 # Used until the hosts are known; the size of the smallest deployments.
 _DEFAULT_HOST_COUNT = 8
@@ -71,7 +71,7 @@
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
         self._pending_removals: dict[str, _PendingRemoval] = {}
-        self._limit_memory = _limitmemories.create_limit_memory(clock)
+        self._statements = _statementmemories.create_statement_memory(clock)
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
         self.has_servers = False
@@ -341,9 +341,7 @@
         view = _servers.create_server_view(
             self._clock, server, _MIN_CONNECTIONS, self._memory
         )
-        kept_limit = self._limit_memory.restore(server)
-        if kept_limit is not None:
-            view.rate_limit = kept_limit
+        self._statements.restore(view)
         self._set_connection_limits(view)
         self._views[server.instance_id] = view
         self._by_service.setdefault(server.service, []).append(view)
@@ -362,7 +360,7 @@
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
-        self._limit_memory.keep(view.server, view.rate_limit)
+        self._statements.keep(view)
         base.log_event(
             _logger, "server-removed", server=instance_id, reason=reason
         )
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -15,6 +15,10 @@
     """The request would exceed the limit that the server states."""
 
 
+class WithdrawnError(UnsentError):
+    """The server has stated that it leaves or wants no requests for now."""
+
+
 class RejectedError(base.CowslipvalveError):
     """The server reports that it has not run the request."""
 
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -166,6 +166,7 @@
     def _take_report(
         self, host: _resources.HostRecord, report: _groupmessages.GroupReport
     ) -> None:
+        self._record_leaving(report)
         if not report.answered and not report.failed and not report.unknown:
             return
         try:
@@ -202,6 +203,13 @@
         # This host may know servers that the other one does not know yet.
         self._ask_directly(report.unknown, False)
 
+    def _record_leaving(self, report: _groupmessages.GroupReport) -> None:
+        """Leaves alone what the other host's answers say is leaving."""
+        for leaving in report.leaving:
+            view = self._context.catalog.find_server(leaving.server)
+            if view and view.server.started_ms == leaving.started_ms:
+                view.withdrawal.record_leaving()
+
     def _ask_directly(self, shards: tuple[str, ...], is_repeat: bool) -> None:
         """Asks shards from this host."""
         calls = [
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -9,6 +9,7 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _merges
+from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 
 # Parts that arrive within this time share a report, which saves messages.
@@ -29,6 +30,7 @@
         request: _calls.CallerRequest,
     ) -> None:
         self._clock = context.clock
+        self._catalog = context.catalog
         self._route = message.route
         self._target_ms = request.received_ms + message.target_remaining_ms
         self._deadline_ms = request.deadline_ms
@@ -41,6 +43,7 @@
             service
             for service in message.route.shards
             if not context.selector.find_usable(message.route, service)
+            and not context.selector.find_pause_ms(message.route, service)
         ]
         repeats = {
             service: _attempts.Repeat(server=server)
@@ -143,10 +146,22 @@
             failed=tuple(self._failed),
             waits_ms=tuple(self._failed.values()),
             unknown=tuple(self._unknown),
+            leaving=tuple(
+                _groupmessages.LeavingServer(
+                    server=server.instance_id, started_ms=server.started_ms
+                )
+                for call in self._answered
+                for server in self._find_leaving(call.service)
+            ),
         )
         self._answered, self._failed, self._unknown = [], {}, []
         return report
 
+    def _find_leaving(self, service: str) -> list[_resources.Server]:
+        """Returns the servers that leave, also those that others told of."""
+        views = self._catalog.servers_of(service)
+        return [v.server for v in views if v.withdrawal.is_leaving]
+
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
         self._unsettled -= 1
         if call.answer is not None and call.answer.is_success:
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -64,6 +64,14 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class LeavingServer:
+    """A start of a server that has stated that it leaves."""
+
+    server: str
+    started_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class GroupReport:
     """What happened since the last report; an empty one shows progress only."""
@@ -84,6 +92,8 @@
     waits_ms: tuple[float, ...] = ()
     # The shards of which the host knows no server; nothing was sent.
     unknown: tuple[str, ...] = ()
+    # The servers of the answered shards that leave.
+    leaving: tuple[LeavingServer, ...] = ()
 
     def read_records(self) -> bytes:
         """Returns the records.
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -56,9 +56,24 @@
         return [
             view
             for view in self._catalog.servers_of(service)
-            if self._is_usable(view, route)
+            if self._is_usable(view, route) and not view.withdrawal.is_in_force
         ]
 
+    def find_pause_ms(self, route: _resources.Route, service: str) -> float:
+        """Returns when the first server takes requests again, 0 if one does.
+
+        Also 0 if no server of the service will.
+        """
+        return min(
+            (
+                view.withdrawal.pause_ms
+                for view in self._catalog.servers_of(service)
+                if self._is_usable(view, route)
+                and not view.withdrawal.is_leaving
+            ),
+            default=0.0,
+        )
+
     def choose(
         self,
         route: _resources.Route,
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -6,6 +6,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _connections
+from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
@@ -46,6 +47,12 @@
         not tell.
         """
 
+    def is_leaving(self, answer: _connections.RawAnswer) -> bool:
+        """Whether the server states that it leaves."""
+
+    def pause_ms(self, answer: _connections.RawAnswer) -> float | None:
+        """Returns for how many ms the server wants no requests, if stated."""
+
 
 class ServerClient:
     """Sends requests to servers over pooled connections."""
@@ -82,12 +89,21 @@
         Raises:
           UnsentError: Nothing was sent.
           PoolBusyError: Nothing was sent because no connection was free.
+          WithdrawnError: Nothing was sent because the server has stated that
+            it wants no requests.
           RejectedError: The server has not run the request.
           LostAnswerError: The request may have run, but there is no complete
             answer.
         """
         view.cancel_superseded_if_full()
         connection = await view.pool.acquire(connect_timeout_ms, must_be_new)
+        if view.withdrawal.is_in_force:
+            view.pool.release(connection)
+            raise _errors.WithdrawnError(
+                "the server wants no requests now",
+                step="send",
+                peer=view.server.instance_id,
+            )
         attempt_number = view.start_attempt()
         try:
             on_sent()
@@ -98,11 +114,7 @@
                 lambda raw: self._protocol.is_answer_to(request, raw),
             )
             connection.idle_timeout_s = self._protocol.idle_timeout_s(answer)
-            rate_limit = self._protocol.rate_limit(answer)
-            if rate_limit is not None and view.rate_limit.record(
-                rate_limit, sent_ms
-            ):
-                self._on_limit_changed(view)
+            self._record_statements(view, answer, sent_ms)
         except BaseException:
             # The server drops a cancelled request when its connection
             # closes.
@@ -113,6 +125,24 @@
             view.pool.release(connection)
         return self._protocol.decode(view.server, answer)
 
+    def _record_statements(
+        self,
+        view: _servers.ServerView,
+        answer: _connections.RawAnswer,
+        sent_ms: float,
+    ) -> None:
+        """Records what an answer states beside the answer itself."""
+        rate_limit = self._protocol.rate_limit(answer)
+        if rate_limit is not None and view.rate_limit.record(
+            rate_limit, sent_ms
+        ):
+            self._on_limit_changed(view)
+        if self._protocol.is_leaving(answer):
+            view.withdrawal.record_leaving()
+        pause_ms = self._protocol.pause_ms(answer)
+        if pause_ms is not None:
+            view.withdrawal.record_pause(pause_ms)
+
 
 def create_server_client(
     protocol: ServerProtocol,
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -8,6 +8,7 @@
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _ratelimits
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _withdrawals
 
 # Averages over about five answers, two seconds of one host's traffic.
 _SMOOTHING_WEIGHT = 0.2
@@ -35,6 +36,10 @@
         self.rate_limit = _ratelimits.create_rate_limit(
             clock, server.instance_id
         )
+        # Whether the server states that it wants no requests.
+        self.withdrawal = _withdrawals.create_withdrawal(
+            clock, server.instance_id
+        )
         # The start times of unanswered attempts by attempt number.
         self._running: dict[int, float] = {}
         self._next_attempt = 0
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -9,10 +9,12 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _failures
 from cowslipvalve_gateway import _hedgedelays
 from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _servicewaits
 
 # Outlasts a usual pause of a server, as cancelling costs a new connection.
 _SUPERSEDED_TIMEOUT_MS = 400.0
@@ -96,8 +98,8 @@
         """How long the limits of all servers are used up, in ms."""
         if self.reason is not _calls.RefusalReason.RATE_LIMITED:
             return 0.0
-        return self._context.limiter.compute_wait_ms(
-            self._context.selector.find_usable(self._route, self.service)
+        return _servicewaits.compute_wait_ms(
+            self._context, self._route, self.service
         )
 
     def describe(self) -> str:
@@ -120,24 +122,18 @@
             self._settle()
             return
         if not self._wait_for_cold_server():
-            self._note_exhausted_limits()
+            if _servicewaits.is_exhausted(
+                self._context, self._route, self.service
+            ):
+                self.reason = _calls.RefusalReason.RATE_LIMITED
             self._settle()
 
-    def _note_exhausted_limits(self) -> None:
-        """Changes the reason if the limits of all servers are used up."""
-        usable = self._context.selector.find_usable(self._route, self.service)
-        if usable and self._context.limiter.is_exhausted(usable):
-            self.reason = _calls.RefusalReason.RATE_LIMITED
-
     def _wait_for_cold_server(self) -> bool:
         is_paced = self._context.selector.has_paced(
             self._route, self.service, self._tried
         )
         if is_paced:
-            self._stop_timer()
-            self._timer = asyncio.get_running_loop().call_later(
-                base.to_seconds(_COLD_RETRY_MS), self._start_or_wait
-            )
+            self._start_timer(_COLD_RETRY_MS, self._start_or_wait)
         return is_paced
 
     def abandon(self) -> None:
@@ -210,26 +206,12 @@
                 not self._route.is_idempotent,
                 lambda: self._record_sent(attempt),
             )
-        except _errors.PoolBusyError as error:
-            self._handle_failure(
-                attempt, _calls.RefusalReason.OVERLOADED, error
-            )
-        except _errors.RateLimitedError as error:
-            self._handle_failure(
-                attempt, _calls.RefusalReason.RATE_LIMITED, error
-            )
-        except _errors.UnsentError as error:
-            self._handle_failure(attempt, _calls.RefusalReason.NO_SERVER, error)
-        except _errors.MisdirectedError as error:
-            view.is_misdirected = True
-            self._handle_failure(attempt, _calls.RefusalReason.NO_SERVER, error)
-        except _errors.RejectedError as error:
-            self._handle_failure(
-                attempt, _calls.RefusalReason.OVERLOADED, error
-            )
-        except _errors.LostAnswerError as error:
-            self.has_run = True
-            self._handle_failure(attempt, _calls.RefusalReason.LOST, error)
+        except (
+            _errors.UnsentError,
+            _errors.RejectedError,
+            _errors.LostAnswerError,
+        ) as error:
+            self._handle_error(attempt, error)
         except asyncio.CancelledError:
             self._record_unanswered(attempt)
             raise
@@ -255,18 +237,22 @@
         self.attempts += 1
         self._context.measurements.count("attempts")
         if attempt.view.rate_limit.is_stated:
-            self._record_sent_to_limited(attempt)
+            self._context.measurements.count(
+                "attempts_to_limited", attempt.kind
+            )
+            self._log(
+                "limited-attempt",
+                attempt.view,
+                kind=attempt.kind,
+                requests_per_s=attempt.view.rate_limit.requests_per_s,
+            )
         if not self.is_settled:
-            self._schedule_hedge(self._compute_hedge_delay_ms(attempt.view))
-
-    def _record_sent_to_limited(self, attempt: _attempts.Attempt) -> None:
-        self._context.measurements.count("attempts_to_limited", attempt.kind)
-        self._log(
-            "limited-attempt",
-            attempt.view,
-            kind=attempt.kind,
-            requests_per_s=attempt.view.rate_limit.requests_per_s,
-        )
+            latencies = self._context.selector.latencies(
+                self._route, attempt.view
+            )
+            self._schedule_hedge(
+                _hedgedelays.compute_hedge_delay_ms(self._route, latencies)
+            )
 
     def _record_unanswered(self, attempt: _attempts.Attempt) -> None:
         """Records a sent attempt that was cancelled."""
@@ -299,6 +285,17 @@
             self.answer = answer
         self._handle_failure(attempt, _calls.RefusalReason.BAD_ANSWER, None)
 
+    def _handle_error(
+        self, attempt: _attempts.Attempt, error: base.CowslipvalveError
+    ) -> None:
+        if isinstance(error, _errors.MisdirectedError):
+            attempt.view.is_misdirected = True
+        if isinstance(error, _errors.LostAnswerError):
+            self.has_run = True
+        if isinstance(error, _errors.BrokenConnectionError):
+            self._context.crashes.record_loss(attempt.view, self._request)
+        self._handle_failure(attempt, _failures.find_reason(error), error)
+
     def _handle_failure(
         self,
         attempt: _attempts.Attempt,
@@ -307,11 +304,7 @@
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
         self._running.remove(attempt)
-        if isinstance(error, _errors.BrokenConnectionError):
-            self._context.crashes.record_loss(attempt.view, self._request)
-        if not isinstance(
-            error, (_errors.PoolBusyError, _errors.RateLimitedError)
-        ):
+        if _failures.is_server_failure(error):
             attempt.view.record_failure()
         self._context.measurements.count("failed_attempts", reason.value)
         self._log(
@@ -336,13 +329,9 @@
             return True
         if self.reason is not _calls.RefusalReason.OVERLOADED:
             return False
-        # All servers were tried; an overloaded one may accept the request
-        # later.
+        # An overloaded server may accept the request later.
         self._tried.clear()
-        self._stop_timer()
-        self._timer = asyncio.get_running_loop().call_later(
-            base.to_seconds(_OVERLOAD_RETRY_MS), self._start_or_wait
-        )
+        self._start_timer(_OVERLOAD_RETRY_MS, self._start_or_wait)
         return True
 
     def _may_retry(self) -> bool:
@@ -352,13 +341,7 @@
         self._stop_timer()
         if not self._route.is_idempotent:
             return
-        self._timer = asyncio.get_running_loop().call_later(
-            base.to_seconds(delay_ms), self._hedge
-        )
-
-    def _compute_hedge_delay_ms(self, view: _servers.ServerView) -> float:
-        latencies = self._context.selector.latencies(self._route, view)
-        return _hedgedelays.compute_hedge_delay_ms(self._route, latencies)
+        self._start_timer(delay_ms, self._hedge)
 
     def _hedge(self) -> None:
         """Sends a hedge to another server unless the call is settled."""
@@ -387,6 +370,12 @@
                 )
         self._on_settled(self)
 
+    def _start_timer(self, delay_ms: float, step: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            base.to_seconds(delay_ms), step
+        )
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -40,6 +40,10 @@
     # The Server-Limit of the answers, the requests per second that the server
     # takes from all hosts together; not sent if empty.
     rate_limit: str = ""
+    # Says in each answer that the server leaves.
+    is_leaving: bool = False
+    # The Retry-After of rejections in s; not sent if empty.
+    retry_after: str = ""
     # The body that ends the server as soon as it begins to run it; none if
     # empty.
     crash_body: bytes = b""
@@ -71,6 +75,7 @@
       connections: The number of connections that were accepted.
       address: The address that the server listens on, empty before the start.
       records: The records of this server's shard.
+      rejected: The number of requests that were rejected.
       crashed: Set once a request has ended the server.
     """
 
@@ -83,6 +88,7 @@
         self.proofs: dict[str, str] = {}
         self.connections = 0
         self.address = ""
+        self.rejected = 0
         self.crashed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._connection_tasks: set[asyncio.Task[None]] = set()
@@ -142,8 +148,12 @@
             writer.write(_format_answer(421, request_id, "", b"", []))
             return True
         if self.faults.rejects:
+            self.rejected += 1
+            extra_headers = ["Not-Executed: 1"]
+            if self.faults.retry_after:
+                extra_headers.append(f"Retry-After: {self.faults.retry_after}")
             writer.write(
-                _format_answer(503, request_id, "", b"", ["Not-Executed: 1"])
+                _format_answer(503, request_id, "", b"", extra_headers)
             )
             return True
         self.executed_requests.append(request)
@@ -178,6 +188,8 @@
         )
         if faults.rate_limit:
             extra_headers.append(f"Server-Limit: {faults.rate_limit}")
+        if faults.is_leaving:
+            extra_headers.append("Server-Leaving: 1")
         body = b"".join(self.records)
         if faults.is_unframed:
             head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -13,6 +13,8 @@
 _PAGE_SIZE = 50  # Small, so that lists in tests span several pages.
 _STALE_READ_COST = 0.1
 _MS_PER_S = 1_000.0
+# What the operator and the servers write.
+_FOREIGN_KINDS = ("config", "servers", "evacuations")
 
 
 @attrs.define(kw_only=True)
@@ -100,6 +102,24 @@
         self._history_changed.set()
         self._history_changed = asyncio.Event()
 
+    def write_again(self, truth: StoreCopy, kept: StoreCopy) -> None:
+        """Repeats the changes between two copies, as their authors do.
+
+        Objects that were written since the restore stay as they are, and those
+        of the hosts are theirs to write.
+        """
+        for kind in _FOREIGN_KINDS:
+            objects = self._objects.get(kind, {})
+            wanted = truth.objects.get(kind, {})
+            for name in objects.keys() | wanted.keys():
+                old = objects.get(name)
+                if old and old["meta"]["revision"] > kept.revision:
+                    continue
+                if name not in wanted:
+                    self.delete(kind, name)
+                elif old is None or old["spec"] != wanted[name]["spec"]:
+                    self.put(kind, name, wanted[name]["spec"])
+
     def find_names(self, kind: str) -> set[str]:
         """Returns the names of the objects of a kind."""
         return set(self._objects.get(kind, {}))
