Refuse no request that this host has seen answered

Found by reading the quarantine again: a request that many callers send, and that is answered all the time, could be convicted by hosts that have just started and have seen none of its answers; all hosts would then have refused it for 10 minutes.

Change: the fingerprints of answered requests belong to the quarantine, which takes no entry for them, whoever convicts. Suspects with fewer ends than strikes are needed are not looked at in a verdict. Known positions are logged as two fields.

--- a/packages/gateway/cowslipvalve_gateway/_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashrecords.py
@@ -109,6 +109,7 @@
         ends = {
             fingerprint: self._find_unanswered(suspect)
             for fingerprint, suspect in self._suspects.items()
+            if len(suspect.ends) >= _MIN_STRIKES
         }
         convicted = []
         explained: set[_End] = set()
--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -35,7 +35,6 @@
 # The reports of other hosts of the same ends arrive within this time.
 _VERDICT_DELAY_MS = 200.0
 _REPORT_TIMEOUT_MS = 400.0
-_MAX_ANSWERED = 8_192
 _MAX_REPORTED = 1_024
 _MAX_CHECKS = 64  # Each opens a connection.
 _MAX_SUSPECTS_PER_END = 64
@@ -75,10 +74,6 @@
         self._client = client
         self._measurements = measurements
         self._record = _crashrecords.create_crash_record(clock)
-        # The latest requests that were answered, which end no server.
-        self._answered: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
         # The suspects that this host has reported.
         self._reported: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -112,7 +107,7 @@
         if view.server.state is not _resources.ServerState.READY:
             return  # It was to end.
         fingerprint = _fingerprints.compute_fingerprint(request)
-        if fingerprint in self._answered:
+        if fingerprint in self.quarantine.answered:
             return
         name = view.server.instance_id
         check = self._checks.get(name)
@@ -143,10 +138,7 @@
     def record_answer(self, request: _calls.CallerRequest) -> None:
         """Records that all services of a request have answered it."""
         fingerprint = _fingerprints.compute_fingerprint(request)
-        self._answered[fingerprint] = None
-        self._answered.move_to_end(fingerprint)
-        if len(self._answered) > _MAX_ANSWERED:
-            self._answered.popitem(last=False)
+        self.quarantine.answered.add(fingerprint)
 
     def receive(
         self, report: _crashreports.CrashReport
@@ -169,7 +161,8 @@
             is_refused = await check.view.pool.is_refused(_CHECK_TIMEOUT_MS)
         finally:
             del self._checks[check.view.server.instance_id]
-        suspects = check.suspects.difference(self._answered)
+        answered = self.quarantine.answered
+        suspects = {name for name in check.suspects if name not in answered}
         base.log_event(
             _logger,
             "connection-broken",
--- a/packages/gateway/cowslipvalve_gateway/_quarantines.py
+++ b/packages/gateway/cowslipvalve_gateway/_quarantines.py
@@ -9,6 +9,7 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _answeredrequests
 
 # How long a request is refused. If it then ends a server again, the earlier
 # evidence still counts, so that it is refused for as long again at once.
@@ -37,10 +38,16 @@
 
 
 class Quarantine:
-    """The requests that this host refuses."""
+    """The requests that this host refuses.
+
+    Attributes:
+      answered: The requests that this host refuses in no case, as their servers
+        have answered them.
+    """
 
     def __init__(self, clock: base.Clock) -> None:
         self._clock = clock
+        self.answered = _answeredrequests.create_answered_requests()
         # By fingerprint, the earliest first.
         self._terms: dict[str, _Term] = {}
 
@@ -71,7 +78,7 @@
         added = []
         for entry in entries:
             remaining_ms = min(_QUARANTINE_MS, entry.remaining_ms)
-            if remaining_ms <= 0.0:
+            if remaining_ms <= 0.0 or entry.fingerprint in self.answered:
                 continue
             if entry.fingerprint not in self:
                 added.append(entry.fingerprint)
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -96,7 +96,7 @@
                 kind=kind.value,
                 revision=listing.revision,
                 era=listing.era,
-                known=self.log.position(kind),
+                **self._describe_known(kind),
             )
             return False
         repair = self._repairs.get(kind)
@@ -116,7 +116,7 @@
             kind=kind.value,
             revision=listing.revision,
             era=listing.era,
-            known=self.log.position(kind),
+            **self._describe_known(kind),
         )
         self.start_grace_period()
         if kind is _stores.StateKind.CONFIGURATION:
@@ -127,6 +127,10 @@
         end_ms = self._clock.now_ms() + _restores.REPAIR_MS
         self._repairs[kind] = _restores.Repair(kind, known, end_ms)
 
+    def _describe_known(self, kind: _stores.StateKind) -> dict[str, object]:
+        known = self.log.position(kind) or _stores.NO_POSITION
+        return {"known_revision": known.revision, "known_era": known.era}
+
     def end_repairs(self) -> None:
         """Goes by the store's state alone once repairs are over."""
         now_ms = self._clock.now_ms()
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
@@ -171,6 +171,12 @@
         self.clock.advance(5 * _MINUTE_MS)
         self.assertFalse(other.blocks("a", "x"))
 
+    def test_request_that_was_answered_is_not_refused(self) -> None:
+        self.quarantine.answered.add("a")
+        entries = [gateway.QuarantineEntry(fingerprint=name) for name in "ab"]
+        self.assertEqual(self.quarantine.add_all(entries), ["b"])
+        self.assertFalse(self.quarantine.blocks("a", "x"))
+
     def test_quarantine_is_bounded_against_any_number_of_requests(
         self,
     ) -> None:
