Restore the store from a copy in each seed of the soak

The soak played no store that forgets what it has acknowledged, so that it could not find the listings that hosts refused after a restore. Each seed now restores the store once from a copy of 0.5 to 4 s before; the operator and the servers write again 1 s later. The restore is drawn apart, so that all seeds keep their other faults.

--- a/standins/cowslipvalve_standins/_soakfaults.py
+++ b/standins/cowslipvalve_standins/_soakfaults.py
@@ -15,6 +15,7 @@
 from cowslipvalve_standins import _wirestore
 
 _DRAIN_WAIT_S = 3.5  # Longer than a change may take to reach all hosts.
+_REWRITE_S = 1.0  # Servers write their heartbeats that often.
 _STORE_FAULTS: tuple[dict[str, Any], ...] = (
     {"status": 503},
     {"status": 429},
@@ -73,12 +74,19 @@
         self._reserved_hosts: set[str] = set()
         self.unexpected_exits: list[str] = []
 
-    async def run(self, faults: tuple[Fault, ...]) -> None:
+    async def run(self, faults: tuple[Fault, ...], restore: Fault) -> None:
         """Injects all faults and returns when the last fault has ended."""
-        await asyncio.gather(*(self._inject(fault) for fault in faults))
+        await asyncio.gather(
+            *(self._inject(fault) for fault in faults),
+            self._restore(restore),
+        )
         for host in self._deployment.hosts:
             self._check_running(host)
 
+    async def _restore(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        await self.restore_store(fault)
+
     async def _inject(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
         await INJECTORS[fault.kind](self, fault, random.Random(fault.seed))
@@ -169,6 +177,16 @@
         """Drops the store's history, so that watches must list again."""
         self._deployment.store.drop_history()
 
+    async def restore_store(self, fault: Fault) -> None:
+        """Restores the store from a copy; the others write again later."""
+        store = self._deployment.store
+        kept = store.copy()
+        await asyncio.sleep(fault.for_s)
+        truth = store.copy()
+        store.restore(kept)
+        await asyncio.sleep(_REWRITE_S)
+        store.write_again(truth, kept)
+
     async def inject_store_link_fault(
         self, fault: Fault, rng: random.Random
     ) -> None:
@@ -281,6 +299,20 @@
 }
 
 
+def draw_restore(seed: int, period_s: float) -> Fault:
+    """Returns a restore of the store from a copy that is for_s old.
+
+    It is drawn apart from the other faults, so that a seed keeps these.
+    """
+    rng = random.Random(f"restore-{seed}")
+    return Fault(
+        at_s=round(rng.uniform(0.0, period_s), 2),
+        for_s=round(rng.uniform(0.5, 4.0), 2),
+        kind="restore-store",
+        seed=seed,
+    )
+
+
 def draw_faults(
     rng: random.Random, count: int, period_s: float
 ) -> tuple[Fault, ...]:
--- a/standins/cowslipvalve_standins/soak.py
+++ b/standins/cowslipvalve_standins/soak.py
@@ -58,6 +58,7 @@
     """Runs the soak test of one seed; hosts write their logs to the folder."""
     rng = random.Random(seed)
     faults = _soakfaults.draw_faults(rng, _FAULT_COUNT, _FAULT_PERIOD_S)
+    restore = _soakfaults.draw_restore(seed, _FAULT_PERIOD_S)
     deployment = _soakdeployments.SoakDeployment(folder)
     callers = _soakcallers.Callers(deployment, rng)
     stop = asyncio.Event()
@@ -65,7 +66,7 @@
         await deployment.start()
         load_task = asyncio.ensure_future(callers.run(stop))
         injector = _soakfaults.FaultInjector(deployment)
-        await injector.run(faults)
+        await injector.run(faults, restore)
         violations = injector.unexpected_exits
         if not violations:  # A host that has exited never becomes ready.
             violations += await _check_after_faults(deployment, callers)
@@ -76,7 +77,7 @@
     finally:
         await deployment.stop()
     return SoakResult(
-        faults=faults,
+        faults=(*faults, restore),
         calls=len(callers.calls),
         served=sum(call.status == _HTTP_OK for call in callers.calls),
         violations=tuple(violations),
