Count the end of a server that has said that it leaves as planned

Found by reading: a server that states Server-Leaving and then ends while it runs a request was evidence against that request, unlike one that is registered as draining. A request that is long at work in a planned replacement of several servers could be refused.

Change: such ends are no evidence. test_server_that_was_to_end_is_no_evidence failed before (1 of 4 of test_crashwatches), now 4 passed.

--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -104,7 +104,8 @@
         self, view: _servers.ServerView, request: _calls.CallerRequest
     ) -> None:
         """Records that a connection broke while a server ran a request."""
-        if view.server.state is not _resources.ServerState.READY:
+        is_ready = view.server.state is _resources.ServerState.READY
+        if not is_ready or view.withdrawal.is_leaving:
             return  # It was to end.
         fingerprint = _fingerprints.compute_fingerprint(request)
         if fingerprint in self.quarantine.answered:
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -0,0 +1,99 @@
+"""Tests of what counts as the end of a server under a request."""
+
+import asyncio
+import unittest
+
+import cowslipvalve_base as base
+import cowslipvalve_gateway as gateway
+from cowslipvalve_gateway import _servers
+
+_OWN = gateway.HostRecord(name="h0", domain="a", state_address="h0")
+_REQUEST = gateway.CallerRequest(
+    request_id="r1",
+    method="POST",
+    host="search.example",
+    target="/read/1",
+    headers=(),
+    body=b"body",
+    received_ms=0.0,
+    deadline_ms=1.0,
+)
+_ENDED = ("servers_ended", "")
+
+
+class _Client:
+    """Takes reports to other hosts, of which there are none."""
+
+
+class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self) -> None:
+        self.clock = base.create_clock()
+        self.measurements = gateway.create_measurements()
+        client: gateway.CrashReportClient = _Client()  # type: ignore[assignment]
+        self.watch = gateway.create_crash_watch(
+            _OWN,
+            gateway.create_catalog(self.clock, {}),
+            self.clock,
+            gateway.create_quarantine(self.clock),
+            client,
+            self.measurements,
+        )
+        self.listener = await asyncio.start_server(
+            lambda *_: None, "127.0.0.1", 0
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.listener.close()
+        await self.listener.wait_closed()
+
+    def create_view(
+        self, state: gateway.ServerState = gateway.ServerState.READY
+    ) -> _servers.ServerView:
+        """Creates the view of the server that the test listens for."""
+        port = self.listener.sockets[0].getsockname()[1]
+        server = gateway.Server(
+            instance_id="i-0",
+            service="orders",
+            address=f"127.0.0.1:{port}",
+            domain="a",
+            state=state,
+            slots=2,
+        )
+        return _servers.create_server_view(self.clock, server, 4)
+
+    async def lose(self, view: _servers.ServerView) -> int:
+        """Loses a connection; returns how many ends were found."""
+        self.watch.record_loss(view, _REQUEST)
+        await asyncio.sleep(0.2)
+        return self.measurements.read_counts().get(_ENDED, 0)
+
+    async def test_server_that_refuses_connections_has_ended(self) -> None:
+        view = self.create_view()
+        self.listener.close()
+        self.assertEqual(await self.lose(view), 1)
+
+    async def test_server_that_listens_has_lost_a_connection_only(self) -> None:
+        view = self.create_view()
+        self.assertEqual(await self.lose(view), 0)
+        view.pool.close()
+
+    async def test_server_that_was_to_end_is_no_evidence(self) -> None:
+        draining = self.create_view(gateway.ServerState.DRAINING)
+        leaving = self.create_view()
+        leaving.withdrawal.record_leaving()
+        removed = self.create_view()
+        removed.pool.close()
+        self.listener.close()
+        for view in (draining, leaving, removed):
+            self.assertEqual(await self.lose(view), 0)
+
+    async def test_request_that_was_answered_is_no_suspect(self) -> None:
+        view = self.create_view()
+        self.listener.close()
+        self.watch.record_answer(_REQUEST)
+        self.assertEqual(await self.lose(view), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
