Close the listener of a test without a stream

The streams of the test's listener were closed after the event loop, which printed RuntimeError behind the result.

--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -39,8 +39,8 @@
             client,
             self.measurements,
         )
-        self.listener = await asyncio.start_server(
-            lambda *_: None, "127.0.0.1", 0
+        self.listener = await asyncio.get_running_loop().create_server(
+            asyncio.Protocol, "127.0.0.1", 0
         )
 
     async def asyncTearDown(self) -> None:
