Apply an operator's change again if a host has written the status

What operators saw: the command that takes a server or domain out failed now and then with 'object was changed by another writer', though nobody else had changed it. The known red test ConfigurationTest.test_numbers_never_decrease met it in its own write.

Cause: hosts write the status of the same object, which raises its version; the command read, changed and wrote with no second try.

--- a/packages/cli/cowslipvalve_cli/_operations.py
+++ b/packages/cli/cowslipvalve_cli/_operations.py
@@ -8,6 +8,8 @@
 import cowslipvalve_model as model
 import cowslipvalve_store as store
 
+_MAX_TRIES = 5
+
 
 @attrs.frozen
 class WriteResult:
@@ -64,6 +66,9 @@
 ) -> WriteResult:
     """Changes a stored spec.
 
+    Hosts write the status of the same object, so that a conflict need not
+    concern the spec: the change is applied again to what is stored then.
+
     Args:
       client: The client of the platform.
       kind: The kind of the resource.
@@ -72,14 +77,21 @@
       change: Maps the stored spec to the new one.
 
     Raises:
-      ConflictError: Another writer has changed the resource during this call.
+      ConflictError: Other writers have changed the resource during each try.
       NotFoundError: There is no such resource.
     """
-    stored = await client.get(kind, name)
-    spec = change(dict(stored.spec))
-    if spec == stored.spec:
-        return _create_result(stored, "unchanged")
-    return await _write_spec(client, stored, spec, operator)
+    tries = 0
+    while True:
+        stored = await client.get(kind, name)
+        spec = change(dict(stored.spec))
+        if spec == stored.spec:
+            return _create_result(stored, "unchanged")
+        try:
+            return await _write_spec(client, stored, spec, operator)
+        except model.ConflictError:
+            tries += 1
+            if tries == _MAX_TRIES:
+                raise
 
 
 async def _write_spec(
