Write again in the soak only what nobody has written since the restore

Its schedule replaces a server at the moment at which the authors write again what the restore took back (6.09 s both); the stand-in then wrote the registration of the removed server again, which no server does, and hosts sent it orders over a proxy that still listened. (i-11 was added and never removed in the logs.)

Change: the stand-in leaves alone what was written or deleted since the restore.

--- a/standins/cowslipvalve_standins/_soakfaults.py
+++ b/standins/cowslipvalve_standins/_soakfaults.py
@@ -185,7 +185,7 @@
         truth = store.copy()
         store.restore(kept)
         await asyncio.sleep(_REWRITE_S)
-        store.write_again(truth, kept)
+        store.write_again(truth)
 
     async def inject_store_link_fault(
         self, fault: Fault, rng: random.Random
--- a/standins/cowslipvalve_standins/_wirestore.py
+++ b/standins/cowslipvalve_standins/_wirestore.py
@@ -60,6 +60,8 @@
         self._era = 1
         self._oldest_revision = 1
         self._objects: dict[str, dict[str, Any]] = {}
+        # The kinds and names of the objects that were written since a restore.
+        self._written: set[tuple[str, str]] = set()
         self._history: list[tuple[int, str, bool, Any]] = []
         self._history_changed = asyncio.Event()
 
@@ -98,23 +100,24 @@
         self._revision = kept.revision
         self._objects = copy.deepcopy(kept.objects)
         self._era += 1
+        self._written.clear()
         self.drop_history()
         self._history_changed.set()
         self._history_changed = asyncio.Event()
 
-    def write_again(self, truth: StoreCopy, kept: StoreCopy) -> None:
-        """Repeats the changes between two copies, as their authors do.
+    def write_again(self, truth: StoreCopy) -> None:
+        """Writes what a restore has taken back, as its authors do.
 
-        Objects that were written since the restore stay as they are, and those
-        of the hosts are theirs to write.
+        Objects that were written or deleted since the restore stay as they are,
+        and those of the hosts are theirs to write.
         """
         for kind in _FOREIGN_KINDS:
             objects = self._objects.get(kind, {})
             wanted = truth.objects.get(kind, {})
             for name in objects.keys() | wanted.keys():
-                old = objects.get(name)
-                if old and old["meta"]["revision"] > kept.revision:
+                if (kind, name) in self._written:
                     continue
+                old = objects.get(name)
                 if name not in wanted:
                     self.delete(kind, name)
                 elif old is None or old["spec"] != wanted[name]["spec"]:
@@ -235,6 +238,7 @@
 
     def _record_change(self, kind: str, deleted: bool, item: Any) -> None:
         self._history.append((self._revision, kind, deleted, item))
+        self._written.add((kind, item["meta"]["name"]))
         self._history_changed.set()
         self._history_changed = asyncio.Event()
 
