Notice a silent watch of the configuration by the versions of others

Cause: while the store drops its history some of its watches fall silent. A silent watch ends 1.5 s after its wait of 4 s, which is later than a change may take; until then the watcher and its followers keep the old version. Ruled out: the era (no store-restored or listing-refused in the logs).

Change: watchers compare the version of their routing table with another watcher each second, no longer with seeds that may follow them, and take its state if theirs is older; followers that see a newer version at their source do so, too. A shorter wait of the watches was rejected, as each costs a call all the time.

--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -40,8 +40,9 @@
 # Each change of source costs several calls.
 _SOURCE_SEARCH_INTERVAL_MS = 3_000.0
 _NEAR_SOURCE_RETRY_MS = 5_000.0
-# Watchers learn from each other what the store cannot tell them.
-_COMPARE_INTERVAL_MS = 2_000.0
+# A third of the strictest bound for a change: watchers learn from each other
+# what a silent watch or a restored store does not tell them.
+_COMPARE_INTERVAL_MS = 1_000.0
 _FIRST_COMPARE_MS = 100.0
 _REGISTRATION_CHECK_MS = 500.0
 _FIRST_BACKOFF_MS = 100.0
@@ -129,29 +130,43 @@
 
     @mode.Service.task
     async def _compare(self) -> None:
-        """Reads what other watchers know beside the store, in turn.
-
-        That are quarantined requests, and a routing table that a restored
-        store does not hold yet.
-        """
+        """Compares what this host knows with another watcher, in turn."""
         while not self.should_stop:
             catalog = self._replica.catalog
-            far = self._sources.choice.far_sources(catalog.hosts)
-            if not (self._replica.is_watching and catalog.is_complete and far):
+            others = self._sources.choice.other_watchers(catalog.hosts)
+            if not (
+                self._replica.is_watching and catalog.is_complete and others
+            ):
                 await self._clock.sleep_ms(_FIRST_COMPARE_MS)
                 continue
-            source = random.choice(far)
+            source = random.choice(others)
             message = await self._fetch_age(source)
             if message is not None:
                 self._replica.apply_quarantine(message)
-                if message.version > catalog.get_table_version():
-                    await self._take_table(source)
+                await self._take_newer(source, message)
             await self._clock.sleep_ms(_COMPARE_INTERVAL_MS)
 
-    async def _take_table(self, source: str) -> None:
-        message = await self._fetch_all(source, {})
-        if message is not None:
-            self._replica.take_table(message)
+    async def _take_newer(
+        self, source: str, message: _replicas.StateMessage
+    ) -> None:
+        """Takes the state of a host that has a newer routing table."""
+        catalog = self._replica.catalog
+        if message.version <= catalog.get_table_version():
+            return
+        base.log_event(
+            _logger,
+            "table-behind",
+            logging.WARNING,
+            peer=source,
+            version=catalog.get_table_version(),
+            newer=message.version,
+        )
+        await self._fetch_once(source)
+        if message.version > catalog.get_table_version():
+            # By its position the table is not newer: the store was restored.
+            whole = await self._fetch_all(source, {})
+            if whole is not None:
+                self._replica.take_table(whole)
 
     @mode.Service.task
     async def _follow(self) -> None:
@@ -337,6 +352,7 @@
                 )
                 return
             self._replica.apply_message(message)
+            await self._take_newer(source, message)
             if not _is_fresh(message):
                 base.log_event(
                     _logger,
--- a/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -83,6 +83,17 @@
             found.extend(self._rank_watchers(hosts, domain)[:1])
         return self._exclude_own([*found, *self.seeds])
 
+    def other_watchers(
+        self, hosts: Mapping[str, _resources.HostRecord]
+    ) -> list[str]:
+        """Returns the addresses of the other watchers of all domains."""
+        domains = {host.domain for host in hosts.values()}
+        return self._exclude_own(
+            watcher.state_address
+            for domain in sorted(domains)
+            for watcher in choose_watchers(hosts, domain)
+        )
+
     def _rank_watchers(
         self, hosts: Mapping[str, _resources.HostRecord], domain: str
     ) -> tuple[str, ...]:
