Keep the time of a lost connection once

Found in the last read: the ends to be reported stood beside a time that each check holds already, and a part was looked up for checks that play no part in it.

--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -80,7 +80,8 @@
         )
         # The checks in progress by server.
         self._checks: dict[str, _Check] = {}
-        self._ends: list[tuple[_Check, float]] = []
+        # The checks that found an end, for the next report.
+        self._ends: list[_Check] = []
         self._exonerations: set[_crashrecords.Exoneration] = set()
         # The suspects of reports since the last verdict.
         self._accused: set[str] = set()
@@ -126,7 +127,7 @@
 
     def record_part(self, request: _calls.CallerRequest, service: str) -> None:
         """Records that a server of a service has answered a request."""
-        if not self._reported and not self._checks:
+        if not self._reported:
             return
         fingerprint = _fingerprints.compute_fingerprint(request)
         if fingerprint not in self._reported:
@@ -175,7 +176,7 @@
             return
         self._measurements.count("servers_ended")
         check.suspects = suspects
-        self._ends.append((check, check.lost_ms))
+        self._ends.append(check)
         self._schedule_report()
 
     def _schedule_report(self) -> None:
@@ -200,10 +201,10 @@
             _crashrecords.ServerEnd(
                 server=check.view.server.instance_id,
                 service=check.view.server.service,
-                age_ms=now_ms - lost_ms,
+                age_ms=now_ms - check.lost_ms,
                 suspects=tuple(sorted(check.suspects)),
             )
-            for check, lost_ms in self._ends
+            for check in self._ends
         )
         for end in ends:
             self._reported.update(dict.fromkeys(end.suspects))
