--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import re
 import signal
@@ -74,8 +75,10 @@
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
         assert self.process is not None
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(signal_number)
+        # Process.send_signal may take the exit status from those that wait.
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     @property
     def runs_own_code(self) -> bool:
