Wait at the start for settings that are being written

Seen: a host that starts while its settings file is missing, empty or half written ends with status 2, although the file is there a moment later. COWSLIPVALVE_SETTINGS unset gives a traceback and status 1. An address without a host ("8104") was taken: the host listened on all interfaces.

Cause: the file was read once, and one error stood for "not complete" and for "wrong". The reload read the file twice, once to compare and once to decode, so a change between the two reads was missed for good.

Change: SettingsIncompleteError tells a file that is missing, unreadable or not JSON from one with a wrong field. The start waits up to 30 s for the former, logs settings-awaited once and settings-read when it goes on, and then ends with status 2; SIGTERM ends the wait with status 0. A wrong field ends the host at once, addresses without host or port included. A SettingsFile reads the file once per load and compares with that content.

Evidence: the four tests of test_starts fail on the code before (status 2 without a wait in three, a traceback, and a host that runs on "8104"), and three new cases of test_error_names_each_invalid_field. After it all pass; every proper prefix of a file counts as incomplete.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -18,6 +18,7 @@
 from cowslipvalve_base._damage import decode_damaged
 from cowslipvalve_base._errors import CowslipvalveError
 from cowslipvalve_base._errors import SettingsError
+from cowslipvalve_base._errors import SettingsIncompleteError
 from cowslipvalve_base._errors import InputError
 from cowslipvalve_base._errors import RequestError
 from cowslipvalve_base._errors import NotRunError
@@ -30,7 +31,9 @@
 from cowslipvalve_base._errors import AlreadyExistsError
 from cowslipvalve_base._errors import NotFoundError
 from cowslipvalve_base._events import log_event
+from cowslipvalve_base._files import decode_settings
 from cowslipvalve_base._files import load_settings
+from cowslipvalve_base._files import read_settings
 from cowslipvalve_base._outcomes import Outcome
 from cowslipvalve_base._outcomes import Reason
 from cowslipvalve_base._outcomes import RETRYABLE_REASONS
@@ -57,6 +60,7 @@
     "Reason",
     "RequestError",
     "SettingsError",
+    "SettingsIncompleteError",
     "TextEnum",
     "UnknownOutcomeError",
     "check_address",
@@ -67,6 +71,7 @@
     "decode",
     "decode_damaged",
     "decode_plain",
+    "decode_settings",
     "encode",
     "encode_plain",
     "from_plain",
@@ -74,6 +79,7 @@
     "load_settings",
     "log_event",
     "rank_names",
+    "read_settings",
     "split_address",
     "to_camel_case",
     "to_plain",
--- a/packages/base/cowslipvalve_base/_errors.py
+++ b/packages/base/cowslipvalve_base/_errors.py
@@ -21,6 +21,10 @@
     """A settings file is missing, unreadable or has a bad field."""
 
 
+class SettingsIncompleteError(SettingsError):
+    """A settings file is missing, unreadable or not written to its end."""
+
+
 class InputError(CowslipvalveError):
     """Data from outside the process does not have the expected fields."""
 
--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -24,7 +24,7 @@
 _POLL_INTERVAL_S = 0.02
 _HTTP_OK = 200
 # Started by its path, as deploy/system.toml does it.
-_PROGRAM = _ROOT / "platform" / "cowslipvalve_host" / "__main__.py"
+PROGRAM = _ROOT / "platform" / "cowslipvalve_host" / "__main__.py"
 _SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
@@ -61,17 +61,29 @@
         """The file with the output of all processes of this host."""
         return self.folder / f"{self.name}.log"
 
+    @property
+    def settings_path(self) -> pathlib.Path:
+        """The settings file."""
+        return self.folder / f"{self.name}.json"
+
+    def read_log(self) -> str:
+        """Returns the output of all processes of this host."""
+        return self.log_path.read_text()
+
     async def start(self) -> None:
         """Writes the settings and starts a process."""
-        settings_path = self.folder / f"{self.name}.json"
-        settings_path.write_bytes(base.encode_plain(self._settings()))
+        self.settings_path.write_bytes(self.encode_settings())
+        await self.start_process()
+
+    async def start_process(self) -> None:
+        """Starts a process, with the settings file as it is."""
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-S",
-                _PROGRAM,
+                PROGRAM,
                 env={
-                    "COWSLIPVALVE_SETTINGS": str(settings_path),
+                    "COWSLIPVALVE_SETTINGS": str(self.settings_path),
                     "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
                 },
                 stdout=log,
@@ -130,8 +142,9 @@
             while not await self.is_ready(session):  # noqa: ASYNC110
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
-    def _settings(self) -> dict[str, object]:
-        return {
+    def encode_settings(self, **changes: object) -> bytes:
+        """Returns the content of the settings file; changes override it."""
+        settings = {
             "host": self.name,
             "failureDomain": self.domain,
             "regions": DOMAINS,
@@ -148,6 +161,7 @@
                 "windowS": BUDGET_WINDOW_S,
             },
         }
+        return base.encode_plain({**settings, **changes})
 
 
 def create_host_process(
