--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import re
 import signal
@@ -13,6 +14,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_standins import _deployments
 
+_ROOT = pathlib.Path(__file__).parents[2]
 DOMAINS = {"seinajoki": "pohjanmaa", "kuopio": "savo", "rovaniemi": "lappi"}
 GRACE_S = 6.0
 BUDGET_RATIO = 0.2
@@ -21,6 +23,8 @@
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.02
 _HTTP_OK = 200
+# Started by its path, as deploy/system.toml does it.
+PROGRAM = _ROOT / "platform" / "cowslipvalve_host" / "__main__.py"
 _SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
@@ -57,16 +61,31 @@
         """The file with the output of all processes of this host."""
         return self.folder / f"{self.name}.log"
 
+    @property
+    def settings_path(self) -> pathlib.Path:
+        """The settings file."""
+        return self.folder / f"{self.name}.json"
+
+    def read_log(self) -> str:
+        """Returns the output of all processes of this host."""
+        return self.log_path.read_text()
+
     async def start(self) -> None:
         """Writes the settings and starts a process."""
-        settings_path = self.folder / f"{self.name}.json"
-        settings_path.write_bytes(base.encode_plain(self._settings()))
+        self.settings_path.write_bytes(self.encode_settings())
+        await self.start_process()
+
+    async def start_process(self) -> None:
+        """Starts a process, with the settings file as it is."""
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "cowslipvalve_host",
-                env={"COWSLIPVALVE_SETTINGS": str(settings_path)},
+                "-S",
+                PROGRAM,
+                env={
+                    "COWSLIPVALVE_SETTINGS": str(self.settings_path),
+                    "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
+                },
                 stdout=log,
                 stderr=log,
             )
@@ -74,8 +93,10 @@
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
         assert self.process is not None
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(signal_number)
+        # Process.send_signal may take the exit status from those that wait.
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     @property
     def runs_own_code(self) -> bool:
@@ -121,8 +142,9 @@
             while not await self.is_ready(session):  # noqa: ASYNC110
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
-    def _settings(self) -> dict[str, object]:
-        return {
+    def encode_settings(self, **changes: object) -> bytes:
+        """Returns the content of the settings file; changes override it."""
+        settings = {
             "host": self.name,
             "failureDomain": self.domain,
             "regions": DOMAINS,
@@ -139,6 +161,7 @@
                 "windowS": BUDGET_WINDOW_S,
             },
         }
+        return base.encode_plain({**settings, **changes})
 
 
 def create_host_process(
