Count extra arrivals at the servers as the rule does

The soak's check of the retry budget counted only requests that a server ran. The rule counts arrivals that a server rejects as well, so that a run with rejecting servers could break the rule unseen.

Stand-in servers now record all requests that arrive, and the check counts these.

test_reports_repeats_over_budget_in_a_window records its requests where the check now reads them; its cases are unchanged.

--- a/standins/cowslipvalve_standins/_soakchecks.py
+++ b/standins/cowslipvalve_standins/_soakchecks.py
@@ -117,7 +117,7 @@
         collections.defaultdict(list)
     )
     for server in deployment.all_servers.values():
-        by_service[server.service].extend(server.wire_server.executed_requests)
+        by_service[server.service].extend(server.wire_server.received_requests)
         for request in server.wire_server.executed_requests:
             route = request.line.split("/")[1]
             fields = deployment.routes.get(route, {})
@@ -138,7 +138,7 @@
 ) -> Iterator[str]:
     """Checks a service's repeated requests in each window against the budget.
 
-    The budget holds for all hosts together.
+    The budget holds for all hosts together, and for rejected requests too.
     """
     seen_ids: set[str] = set()
     window: collections.deque[tuple[float, bool]] = collections.deque()
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -68,6 +68,8 @@
     Attributes:
       instance_id: The id of this instance.
       faults: The current faults.
+      received_requests: All requests that arrived, also those that were
+        rejected, in the order of arrival.
       executed_requests: The requests that were run, in the order of arrival.
       abandoned_ids: The ids of requests whose connection closed during their
         run.
@@ -83,6 +85,7 @@
         self.instance_id = instance_id
         self.records = records
         self.faults = ServerFaults()
+        self.received_requests: list[ReceivedRequest] = []
         self.executed_requests: list[ReceivedRequest] = []
         self.abandoned_ids: list[str] = []
         self.proofs: dict[str, str] = {}
@@ -142,6 +145,7 @@
     ) -> bool:
         """Serves one request; returns whether the connection stays open."""
         request = await _read_request(reader)
+        self.received_requests.append(request)
         request_id = request.headers.get("request-id", "")
         expected = request.headers.get("expect-instance")
         if expected not in (None, self.instance_id):
--- a/standins/cowslipvalve_standins/tests/test_soak.py
+++ b/standins/cowslipvalve_standins/tests/test_soak.py
@@ -153,7 +153,7 @@
         # arrivals exceed the budget.
         for pause_ms, is_over_budget in ((100.0, True), (400.0, False)):
             with self.subTest(pause_ms):
-                self.shard_servers[0].wire_server.executed_requests = [
+                self.shard_servers[0].wire_server.received_requests = [
                     _create_request("r1", read_ms=pause_ms * number)
                     for number in range(70)
                 ]
