Refund exactly the extra attempt that was not sent

A budget kept the times of extra attempts; a refund took the newest time out in place of the attempt's own. An attempt that failed to connect after a later one was sent took that one out of the window, and its own older time expired sooner. Attempts were counted from the begin of their connecting, the rule counts them when they arrive: one that connects slowly left the window of the budget before that of the servers.

An extra attempt is now an object of the budget: it counts while it connects, is moved to the time at which it is written, and a refund removes just it. It counts 500 ms longer than the window, as a packet that is lost once arrives later than it was sent.

The other tests of budgets keep their cases; `_try_send` stands for the former call of try_take.

--- a/packages/gateway/cowslipvalve_gateway/_attempts.py
+++ b/packages/gateway/cowslipvalve_gateway/_attempts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cowslipvalve_gateway import _budgets
 from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _servers
 
@@ -30,8 +31,8 @@
 
     # The server.
     view: _servers.ServerView
-    # Whether the attempt was charged to the budget.
-    is_extra: bool
+    # What was taken from the budget for the attempt; None if it is the first.
+    extra: _budgets.ExtraAttempt | None
     # Whether the attempt is sent though another one may still be answered.
     is_hedge: bool
     # How the server's limit allows the attempt.
@@ -46,4 +47,4 @@
         """The kind of the attempt for logs and metrics."""
         if self.is_hedge:
             return "hedge"
-        return "retry" if self.is_extra else "first"
+        return "retry" if self.extra else "first"
--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -13,6 +13,8 @@
 _HEDGE_RESERVE_SHARE = 0.25  # Of the allowance, where that is less.
 # The rest covers hosts that restart with an empty window.
 _USABLE_SLACK_SHARE = 0.8
+# A packet that is lost once arrives that much later than it was sent.
+_ARRIVAL_MARGIN_MS = 500.0
 
 
 @attrs.frozen(kw_only=True)
@@ -26,6 +28,19 @@
     # The length of the sliding window in ms.
     window_ms: float
 
+    @property
+    def held_ms(self) -> float:
+        """For how long an extra attempt counts after it was sent, in ms."""
+        return self.window_ms + _ARRIVAL_MARGIN_MS
+
+
+@attrs.define(kw_only=True, eq=False)
+class ExtraAttempt:
+    """An extra attempt that was allowed."""
+
+    # When it was sent, on the process's clock; None before that.
+    sent_ms: float | None = None
+
 
 class AttemptBudget:
     """Counts the requests and the extra attempts of one service.
@@ -41,13 +56,14 @@
         self._clock = clock
         self.bounds = bounds
         self._requests: collections.deque[float] = collections.deque()
-        self._extra_attempts: collections.deque[float] = collections.deque()
+        self._unsent: set[ExtraAttempt] = set()
+        self._sent: collections.deque[ExtraAttempt] = collections.deque()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request or extra attempt is in the current window."""
         self._evict_expired()
-        return not (self._requests or self._extra_attempts)
+        return not (self._requests or self._unsent or self._sent)
 
     def add_request(self) -> None:
         """Counts a caller's request."""
@@ -61,20 +77,31 @@
             of this host's share where the shares differ.
         """
         self._evict_expired()
-        return self._compute_allowance(hosts) - len(self._extra_attempts)
+        taken = len(self._unsent) + len(self._sent)
+        return self._compute_allowance(hosts) - taken
 
     def _compute_allowance(self, hosts: float) -> float:
         slack = self.bounds.slack * _USABLE_SLACK_SHARE / max(1, hosts)
         return self.bounds.ratio * len(self._requests) + slack
 
     def _evict_expired(self) -> None:
-        start_ms = self._clock.now_ms() - self.bounds.window_ms
-        for times in (self._requests, self._extra_attempts):
-            while times and times[0] < start_ms:
-                times.popleft()
-
-    def try_take(self, hosts: float, is_hedge: bool = False) -> bool:
-        """Takes one extra attempt if allowed; hedges leave some for retries."""
+        now_ms = self._clock.now_ms()
+        while self._requests and (
+            self._requests[0] < now_ms - self.bounds.window_ms
+        ):
+            self._requests.popleft()
+        while self._sent and (
+            (self._sent[0].sent_ms or 0.0) < now_ms - self.bounds.held_ms
+        ):
+            self._sent.popleft()
+
+    def try_take(
+        self, hosts: float, is_hedge: bool = False
+    ) -> ExtraAttempt | None:
+        """Takes one extra attempt if allowed; hedges leave some for retries.
+
+        It counts until it is sent and for a window after that.
+        """
         remaining = self.compute_remaining(hosts)
         if is_hedge:
             remaining -= min(
@@ -82,14 +109,20 @@
                 _HEDGE_RESERVE_SHARE * self._compute_allowance(hosts),
             )
         if remaining < 1.0:
-            return False
-        self._extra_attempts.append(self._clock.now_ms())
-        return True
-
-    def refund(self) -> None:
+            return None
+        attempt = ExtraAttempt()
+        self._unsent.add(attempt)
+        return attempt
+
+    def record_sent(self, attempt: ExtraAttempt) -> None:
+        """Counts an extra attempt as sent now."""
+        self._unsent.discard(attempt)
+        attempt.sent_ms = self._clock.now_ms()
+        self._sent.append(attempt)
+
+    def refund(self, attempt: ExtraAttempt) -> None:
         """Refunds an extra attempt that was taken but not sent."""
-        if self._extra_attempts:
-            self._extra_attempts.pop()
+        self._unsent.discard(attempt)
 
 
 def create_attempt_budget(
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -163,17 +163,17 @@
         )
         if view is None:
             return False
+        extra = None
         # An attempt that is still connecting counts, as it will be sent too.
-        is_extra = bool(
-            self.attempts or self._running or self._repeat is not None
-        )
-        if is_extra and not self._context.budget(self.service).try_take(
-            self._context.catalog.count_sharers(self.service), is_hedge
-        ):
-            return False
+        if self.attempts or self._running or self._repeat is not None:
+            extra = self._context.budget(self.service).try_take(
+                self._context.catalog.count_sharers(self.service), is_hedge
+            )
+            if extra is None:
+                return False
         attempt = _attempts.Attempt(
             view=view,
-            is_extra=is_extra,
+            extra=extra,
             is_hedge=is_hedge,
             admission=self._context.limiter.admit(view),
         )
@@ -227,13 +227,15 @@
 
     def _refund(self, attempt: _attempts.Attempt) -> None:
         """Returns what was taken for an attempt that was not sent."""
-        if attempt.is_extra:
-            self._context.budget(self.service).refund()
+        if attempt.extra is not None:
+            self._context.budget(self.service).refund(attempt.extra)
         if attempt.admission is _limiters.Admission.TOKEN_TAKEN:
             attempt.view.rate_limit.refund()
 
     def _record_sent(self, attempt: _attempts.Attempt) -> None:
         attempt.sent_ms = self._context.clock.now_ms()
+        if attempt.extra is not None:
+            self._context.budget(self.service).record_sent(attempt.extra)
         self.attempts += 1
         self._context.measurements.count("attempts")
         if attempt.view.rate_limit.is_stated:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -29,6 +29,16 @@
 )
 
 
+def _try_send(
+    budget: gateway.AttemptBudget, hosts: float, is_hedge: bool = False
+) -> bool:
+    """Sends an extra attempt if the budget allows it; returns whether."""
+    attempt = budget.try_take(hosts, is_hedge)
+    if attempt is not None:
+        budget.record_sent(attempt)
+    return attempt is not None
+
+
 class AttemptBudgetTest(unittest.TestCase):
 
     @hypothesis.settings(derandomize=True, deadline=None)
@@ -55,7 +65,7 @@
             budgets[host].add_request()
             requests.append(clock.now_ms())
             for _ in range(wanted):
-                if budgets[host].try_take(_HOSTS):
+                if _try_send(budgets[host], _HOSTS):
                     extras.append(clock.now_ms())
             start_ms = clock.now_ms() - _BOUNDS.window_ms
             recent = sum(1 for t in requests if t >= start_ms)
@@ -69,8 +79,37 @@
             _clocks.create_manual_clock(), _BOUNDS
         )
         before = budget.compute_remaining(_HOSTS)
-        self.assertTrue(budget.try_take(_HOSTS))
-        budget.refund()
+        attempt = budget.try_take(_HOSTS)
+        assert attempt is not None
+        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        budget.refund(attempt)
+        self.assertEqual(budget.compute_remaining(_HOSTS), before)
+
+    def test_refund_leaves_a_later_attempt_in_the_window(self) -> None:
+        clock = _clocks.create_manual_clock()
+        budget = gateway.create_attempt_budget(clock, _BOUNDS)
+        before = budget.compute_remaining(_HOSTS)
+        unsent = budget.try_take(_HOSTS)
+        assert unsent is not None
+        clock.advance(_BOUNDS.window_ms - 1)
+        self.assertTrue(_try_send(budget, _HOSTS))
+        budget.refund(unsent)
+        clock.advance(_BOUNDS.window_ms - 1)
+        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+
+    def test_attempt_that_connects_slowly_counts_from_its_sending(self) -> None:
+        clock = _clocks.create_manual_clock()
+        budget = gateway.create_attempt_budget(clock, _BOUNDS)
+        before = budget.compute_remaining(_HOSTS)
+        attempt = budget.try_take(_HOSTS)
+        assert attempt is not None
+        # Longer than any connection takes, so that it counts while it lasts.
+        clock.advance(2 * _BOUNDS.window_ms)
+        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        budget.record_sent(attempt)
+        clock.advance(_BOUNDS.window_ms)
+        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        clock.advance(_BOUNDS.held_ms - _BOUNDS.window_ms + 1)
         self.assertEqual(budget.compute_remaining(_HOSTS), before)
 
     def test_budget_is_idle_only_after_its_window(self) -> None:
@@ -97,8 +136,8 @@
                 for _ in range(3):
                     budget.add_request()
                 for _ in range(hedges):
-                    self.assertTrue(budget.try_take(hosts, is_hedge=True))
-                self.assertFalse(budget.try_take(hosts, is_hedge=True))
+                    self.assertTrue(_try_send(budget, hosts, True))
+                self.assertFalse(_try_send(budget, hosts, True))
                 self.assertGreaterEqual(budget.compute_remaining(hosts), left)
 
 
