Let a host's share of the retry slack grow only after the window

Causes: a host that started had an empty window and a whole share of the slack, although the process before it, or the hosts that shared without it, had used theirs in the same window. When a host left, the shares of the others grew at once, while what the host had sent was still in the window. Hosts that knew no hosts yet took an eighth, and hosts that knew a few took a part of those.

A share is now the least one of the last window, its margin and the 3 s in which hosts learn of each other (SlackShares, fed by each change of the hosts or routes, not by the attempts, so that a short dip counts too). A host that knows no routes or hosts, or is not among the hosts, has none; thus a host that starts has none for 13.5 s, nor has one that others do not count. What its own requests earn (ratio) counts from the start on. Nothing is exchanged or stored. Services of a new route have their share at once, since no host has sent by former ones. Catalog keeps the times of removals in place of a class around them, to stay small.

Lines about attempts tell the share (slack_share) and whether there is one yet (has_slack); refused_extra_attempts counts refusals by reason.

Evidence: test_budgetsums runs eight hosts on a manual clock, whose servers fail all attempts.

Tests that relied on a full slack at the start: test_requests (hedge of a paused server, attempts of a request) get their extra attempts from a ratio of 10 in the settings of tests; their assertions are unchanged. Decision tests of budgets pass shares in place of numbers of hosts.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -6,6 +6,7 @@
 from cowslipvalve_gateway._bodies import read_body
 from cowslipvalve_gateway._budgets import BudgetBounds
 from cowslipvalve_gateway._budgets import AttemptBudget
+from cowslipvalve_gateway._budgets import Denial
 from cowslipvalve_gateway._budgets import create_attempt_budget
 from cowslipvalve_gateway._calls import CallerRequest
 from cowslipvalve_gateway._calls import ServerAnswer
@@ -151,6 +152,7 @@
     "CrashReportClient",
     "CrashReportHandler",
     "CrashWatch",
+    "Denial",
     "Exoneration",
     "GROUP_PATH",
     "Gateway",
--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import enum
 
 import attrs
 
@@ -11,7 +12,8 @@
 
 _HEDGE_RESERVE = 2.0  # Extra attempts that hedges leave for retries.
 _HEDGE_RESERVE_SHARE = 0.25  # Of the allowance, where that is less.
-# The rest covers hosts that restart with an empty window.
+# The rest covers callers' requests that move from one host to another within a
+# window, and hosts that join while others are cut off and count without them.
 _USABLE_SLACK_SHARE = 0.8
 # A packet that is lost once arrives that much later than it was sent.
 _ARRIVAL_MARGIN_MS = 500.0
@@ -34,6 +36,16 @@
         return self.window_ms + _ARRIVAL_MARGIN_MS
 
 
+class Denial(enum.Enum):
+    """Why an extra attempt is not allowed."""
+
+    # This host has no share of the slack yet, and few requests of its own.
+    NO_SHARE = "no_share"
+    # What is left is for retries, and the attempt is a hedge.
+    RESERVED = "reserved"
+    USED_UP = "used_up"
+
+
 @attrs.define(kw_only=True, eq=False)
 class ExtraAttempt:
     """An extra attempt that was allowed."""
@@ -69,19 +81,18 @@
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
 
-    def compute_remaining(self, hosts: float) -> float:
+    def compute_remaining(self, share: float) -> float:
         """Returns how many more extra attempts this window allows.
 
         Args:
-          hosts: The number of hosts that share the slack, or the reciprocal
-            of this host's share where the shares differ.
+          share: This host's share of the slack, 0 to 1.
         """
         self._evict_expired()
         taken = len(self._unsent) + len(self._sent)
-        return self._compute_allowance(hosts) - taken
+        return self._compute_allowance(share) - taken
 
-    def _compute_allowance(self, hosts: float) -> float:
-        slack = self.bounds.slack * _USABLE_SLACK_SHARE / max(1, hosts)
+    def _compute_allowance(self, share: float) -> float:
+        slack = self.bounds.slack * _USABLE_SLACK_SHARE * share
         return self.bounds.ratio * len(self._requests) + slack
 
     def _evict_expired(self) -> None:
@@ -95,21 +106,29 @@
         ):
             self._sent.popleft()
 
-    def try_take(
-        self, hosts: float, is_hedge: bool = False
-    ) -> ExtraAttempt | None:
-        """Takes one extra attempt if allowed; hedges leave some for retries.
+    def find_denial(
+        self, share: float, is_hedge: bool = False
+    ) -> Denial | None:
+        """Returns why an extra attempt is not allowed, None if it is.
 
-        It counts until it is sent and for a window after that.
+        Hedges leave some attempts for retries.
         """
-        remaining = self.compute_remaining(hosts)
-        if is_hedge:
-            remaining -= min(
-                _HEDGE_RESERVE,
-                _HEDGE_RESERVE_SHARE * self._compute_allowance(hosts),
-            )
+        remaining = self.compute_remaining(share)
         if remaining < 1.0:
-            return None
+            return Denial.USED_UP if share else Denial.NO_SHARE
+        reserve = min(
+            _HEDGE_RESERVE,
+            _HEDGE_RESERVE_SHARE * self._compute_allowance(share),
+        )
+        if is_hedge and remaining - reserve < 1.0:
+            return Denial.RESERVED
+        return None
+
+    def take(self) -> ExtraAttempt:
+        """Takes one extra attempt; it counts until it is sent and after that.
+
+        Only to be called if there is no denial.
+        """
         attempt = ExtraAttempt()
         self._unsent.add(attempt)
         return attempt
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -67,6 +67,37 @@
             if name in names or not budget.is_idle
         }
 
+    def find_slack_share(self, service: str) -> float:
+        """Returns this host's share, 0 to 1, of the slack of a budget.
+
+        It is 0 for some time after the start of this host.
+        """
+        # Other hosts learn of a change, and of a host's end, only after a time.
+        hold_ms = self.bounds.held_ms + _catalogs.HOSTS_SETTLED_MS
+        return self.catalog.slack_shares.find(service, hold_ms)
+
+    def try_take_extra(
+        self, service: str, is_hedge: bool
+    ) -> _budgets.ExtraAttempt | None:
+        """Takes an extra attempt from a budget if it allows one."""
+        budget = self.budget(service)
+        share = self.find_slack_share(service)
+        denial = budget.find_denial(share, is_hedge)
+        if denial is None:
+            return budget.take()
+        self.measurements.count("refused_extra_attempts", denial.value)
+        return None
+
+    def describe_budget(self, service: str) -> dict[str, object]:
+        """Returns the fields of log lines that depend on a budget."""
+        share = self.find_slack_share(service)
+        remaining = self.budget(service).compute_remaining(share)
+        return {
+            "budget": f"{remaining:.1f}",
+            "slack_share": f"{share:.4f}",
+            "has_slack": share > 0.0,
+        }
+
     def budget(self, service: str) -> _budgets.AttemptBudget:
         """Returns the budget of a service, created on first use."""
         if service not in self._by_service:
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -5,14 +5,13 @@
 import math
 from collections.abc import Collection
 
-import attrs
-
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _slackshares
 from cowslipvalve_gateway import _statementmemories
 
 # Used until the hosts are known; the size of the smallest deployments.
@@ -24,14 +23,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
-class _PendingRemoval:
-    """The scheduled removal of a server whose registration ended."""
-
-    # When the server is removed, on the process's clock.
-    remove_at_ms: float
-
-
 class Catalog:
     """The newest known state.
 
@@ -47,6 +38,7 @@
         clock; -inf if it was one of them before its start, inf once it has
         left them.
       shares_version: Increases whenever the hosts or the routes change.
+      slack_shares: This host's shares of the slack of the budgets.
       planner: Plans which hosts ask the shards of a fan-out; None if each
         host asks all of them.
     """
@@ -70,13 +62,15 @@
         self._shards: frozenset[str] = frozenset()
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
-        self._pending_removals: dict[str, _PendingRemoval] = {}
+        # When servers whose registration ended are removed.
+        self._removals_ms: dict[str, float] = {}
         self._statements = _statementmemories.create_statement_memory(clock)
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
         self.has_servers = False
         self.own_registered_ms = -math.inf
         self.shares_version = 0
+        self.slack_shares = _slackshares.create_slack_shares(clock)
         self._completed = asyncio.Event()
 
     @property
@@ -194,9 +188,18 @@
                 (route.shards for route in self.table.routes if route.shards),
                 self.hosts,
             )
+        self.slack_shares.replace(self._compute_slack_shares())
         for view in self._views.values():
             self._set_connection_limits(view)
 
+    def _compute_slack_shares(self) -> dict[str, float] | None:
+        """Returns the shares by service, None while others do not count it."""
+        is_counted = self.planner is None or self.planner.is_member(self.hosts)
+        if self.table is None or not self.hosts or not is_counted:
+            return None
+        services = self._single_services | self._shards
+        return {s: 1.0 / self.count_sharers(s) for s in services}
+
     def set_domains_out(self, domains: frozenset[str]) -> None:
         """Replaces the set of failure domains that receive no requests."""
         if domains != self.domains_out:
@@ -208,7 +211,7 @@
     def put_server(self, server: _resources.Server) -> None:
         """Adds or updates a server unless a newer registration is known."""
         view = self._views.get(server.instance_id)
-        self._pending_removals.pop(server.instance_id, None)
+        self._removals_ms.pop(server.instance_id, None)
         if view is None:
             self._add(server)
             return
@@ -247,9 +250,7 @@
             self._remove(instance_id, "gone")
             return
         remove_at_ms = self._clock.now_ms() + grace_ms
-        self._pending_removals.setdefault(
-            instance_id, _PendingRemoval(remove_at_ms=remove_at_ms)
-        )
+        self._removals_ms.setdefault(instance_id, remove_at_ms)
 
     def retain_servers(self, names: frozenset[str], grace_ms: float) -> None:
         """Removes, after a grace period, servers that a listing lacks.
@@ -267,8 +268,8 @@
     def remove_lapsed(self) -> None:
         """Removes servers that did not register again in their grace period."""
         now_ms = self._clock.now_ms()
-        for name, removal in list(self._pending_removals.items()):
-            if removal.remove_at_ms <= now_ms:
+        for name, remove_at_ms in list(self._removals_ms.items()):
+            if remove_at_ms <= now_ms:
                 self._remove(name, "lapsed")
 
     def unprepared_pools(self) -> list[_pools.ServerPool]:
@@ -356,7 +357,7 @@
         )
 
     def _remove(self, instance_id: str, reason: str) -> None:
-        self._pending_removals.pop(instance_id, None)
+        self._removals_ms.pop(instance_id, None)
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
--- a/packages/gateway/cowslipvalve_gateway/_groupplans.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupplans.py
@@ -129,6 +129,10 @@
         self._askers[shards] = askers
         return askers
 
+    def is_member(self, hosts: Collection[str]) -> bool:
+        """Whether this host is one of some hosts, given by name."""
+        return self._own.name in hosts
+
     def find_share(self, service: str) -> float:
         """Returns this host's share, at most 1, of the limits on a service."""
         return self._shares.get(service, 1.0 / len(self._hosts))
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -166,9 +166,7 @@
         extra = None
         # An attempt that is still connecting counts, as it will be sent too.
         if self.attempts or self._running or self._repeat is not None:
-            extra = self._context.budget(self.service).try_take(
-                self._context.catalog.count_sharers(self.service), is_hedge
-            )
+            extra = self._context.try_take_extra(self.service, is_hedge)
             if extra is None:
                 return False
         attempt = _attempts.Attempt(
@@ -386,9 +384,6 @@
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
-        budget = self._context.budget(self.service).compute_remaining(
-            self._context.catalog.count_sharers(self.service)
-        )
         base.log_event(
             _logger,
             event,
@@ -397,6 +392,6 @@
             server=view.server.instance_id,
             slowness=f"{view.slowness:.2f}",
             running=view.running,
-            budget=f"{budget:.1f}",
+            **self._context.describe_budget(self.service),
             **fields,
         )
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -0,0 +1,231 @@
+"""Tests of the extra attempts of all hosts while hosts come and go."""
+
+import itertools
+import random
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+import attrs
+
+import cowslipvalve_gateway as gateway
+from cowslipvalve_standins import _arrivals
+from cowslipvalve_standins import _clocks
+from cowslipvalve_standins import _hostprocesses
+
+_SERVICE = "orders"
+_HOST_COUNT = 8
+_BOUNDS = gateway.BudgetBounds(
+    ratio=_hostprocesses.BUDGET_RATIO,
+    slack=_hostprocesses.BUDGET_SLACK,
+    window_ms=_hostprocesses.BUDGET_WINDOW_S * 1_000.0,
+)
+_TABLE = gateway.RoutingTable(
+    version=1,
+    routes=(
+        gateway.Route(
+            name="read",
+            host="search.example",
+            path_prefix="/read/",
+            split=(gateway.Share(service=_SERVICE, weight=1),),
+            is_idempotent=True,
+            max_attempts=3,
+            timeout_ms=1_500.0,
+            target_ms=200.0,
+        ),
+    ),
+    services={},
+)
+_STEP_MS = 50.0
+_LEAD_MS = 14_000.0  # From the start of the hosts to the first request.
+_LOAD_MS = 60_000.0
+_REQUESTS_PER_STEP = 2  # 40 a second.
+_EXTRA_PER_REQUEST = 2
+_START_MS = 300.0  # A host knows the hosts that long after its start.
+_NEWS_MS = 2_900.0  # A change reaches each host within this time.
+_TRANSIT_MS = 400.0  # The longest way of an attempt to its server.
+_EVENT_STEPS = 30  # Hosts come or go every 1.5 s.
+_GRACE_MS = 4_000.0  # A host serves that long after it has left the others.
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Host:
+    """A process of a host; its next process is another one."""
+
+    record: gateway.HostRecord
+    context: gateway.CallContext
+    started_ms: float
+    # How late the host learns of changes.
+    news_ms: float
+    end_ms: float = float("inf")
+
+
+class _Deployment:
+    """Hosts whose servers fail every attempt, on a manual clock."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._clock = _clocks.create_manual_clock()
+        self._numbers = itertools.count()
+        # The registered hosts after each change.
+        self._versions: list[tuple[float, dict[str, gateway.HostRecord]]] = [
+            (self._clock.now_ms(), {})
+        ]
+        self._hosts: list[_Host] = []
+        self._requests_ms: list[float] = []
+        self._arrivals_ms: list[float] = []
+
+    def run(self, change: Callable[["_Deployment"], None]) -> list[float]:
+        """Runs under load; returns the times of the extra arrivals."""
+        for _ in range(_HOST_COUNT):
+            self._add()
+        self._advance(_LEAD_MS)
+        for step in range(int(_LOAD_MS / _STEP_MS)):
+            self._advance(_STEP_MS)
+            if step % _EVENT_STEPS == 0:
+                change(self)
+            for _ in range(_REQUESTS_PER_STEP):
+                self._request()
+        return sorted(self._arrivals_ms)
+
+    def find_worst(self) -> _arrivals.WindowUse:
+        """Returns the worst window so far."""
+        return _arrivals.find_worst_window(
+            sorted(self._arrivals_ms), self._requests_ms
+        )
+
+    def keep(self) -> None:
+        """Leaves the hosts as they are."""
+
+    def kill(self) -> None:
+        """Kills a host and starts it at once under its name."""
+        host = self._rng.choice(self._list_serving())
+        host.end_ms = self._clock.now_ms()
+        self._start(host.record)
+
+    def stop(self) -> None:
+        """Stops a host in order, or starts all that were stopped."""
+        registered = self._versions[-1][1]
+        serving = self._list_serving()
+        if len(registered) > _HOST_COUNT // 2:
+            host = self._rng.choice(
+                [h for h in serving if h.record.name in registered]
+            )
+            self._leave(host)
+        else:
+            for _ in range(_HOST_COUNT - len(registered)):
+                self._add()
+
+    def replace(self) -> None:
+        """Starts a host of a new name and stops another one in order."""
+        registered = self._versions[-1][1]
+        serving = self._list_serving()
+        host = next(h for h in serving if h.record.name in registered)
+        self._add()
+        self._leave(host)
+
+    def vary(self) -> None:
+        """Does any of these."""
+        self._rng.choice((self.kill, self.stop, self.replace))()
+
+    def _list_serving(self) -> list[_Host]:
+        now_ms = self._clock.now_ms()
+        return [h for h in self._hosts if h.end_ms > now_ms]
+
+    def _add(self) -> None:
+        name = f"h{next(self._numbers)}"
+        record = gateway.HostRecord(name=name, domain="a", state_address=name)
+        self._register({**self._versions[-1][1], name: record})
+        self._start(record)
+
+    def _leave(self, host: _Host) -> None:
+        records = dict(self._versions[-1][1])
+        del records[host.record.name]
+        self._register(records)
+        host.end_ms = self._clock.now_ms() + _GRACE_MS
+
+    def _register(self, records: dict[str, gateway.HostRecord]) -> None:
+        self._versions.append((self._clock.now_ms(), records))
+
+    def _start(self, record: gateway.HostRecord) -> None:
+        catalog = gateway.create_catalog(
+            self._clock, {}, gateway.create_group_planner(record)
+        )
+        catalog.set_table(_TABLE)
+        context = gateway.CallContext(
+            catalog=catalog,
+            limiter=mock.Mock(),
+            limit_reader=mock.Mock(),
+            selector=mock.Mock(),
+            client=mock.Mock(),
+            bounds=_BOUNDS,
+            measurements=gateway.create_measurements(),
+            clock=self._clock,
+            own_name=record.name,
+            groups=mock.Mock(),
+            host_health=mock.Mock(),
+            shard_waits=mock.Mock(),
+            crashes=mock.Mock(),
+        )
+        host = _Host(
+            record=record,
+            context=context,
+            started_ms=self._clock.now_ms(),
+            news_ms=self._rng.uniform(0.0, _NEWS_MS),
+        )
+        self._hosts.append(host)
+
+    def _advance(self, duration_ms: float) -> None:
+        end_ms = self._clock.now_ms() + duration_ms
+        while self._clock.now_ms() < end_ms:
+            self._clock.advance(_STEP_MS)
+            for host in self._list_serving():
+                self._inform(host)
+
+    def _inform(self, host: _Host) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms < host.started_ms + _START_MS:
+            return
+        known = [r for t, r in self._versions if t <= now_ms - host.news_ms]
+        host.context.catalog.set_hosts(known[-1] if known else {})
+
+    def _request(self) -> None:
+        now_ms = self._clock.now_ms()
+        host = self._rng.choice(self._list_serving())
+        self._requests_ms.append(now_ms)
+        if now_ms < host.started_ms + _START_MS:
+            return
+        budget = host.context.budget(_SERVICE)
+        budget.add_request()
+        for _ in range(_EXTRA_PER_REQUEST):
+            extra = host.context.try_take_extra(_SERVICE, False)
+            if extra is not None:
+                budget.record_sent(extra)
+                transit_ms = self._rng.uniform(0.0, _TRANSIT_MS)
+                self._arrivals_ms.append(now_ms + transit_ms)
+
+
+class BudgetSumTest(unittest.TestCase):
+
+    def test_hosts_that_come_and_go_keep_the_bound_together(self) -> None:
+        # What happens to hosts every 1.5 s.
+        cases = (
+            _Deployment.keep,
+            _Deployment.kill,
+            _Deployment.stop,
+            _Deployment.replace,
+            _Deployment.vary,
+        )
+        for change in cases:
+            for seed in range(1, 5):
+                with self.subTest(change.__name__, seed=seed):
+                    deployment = _Deployment(seed)
+                    deployment.run(change)
+                    worst = deployment.find_worst()
+                    self.assertLessEqual(worst.extra, worst.allowed)
+
+    def test_hosts_that_stay_use_most_of_the_bound(self) -> None:
+        deployment = _Deployment(1)
+        deployment.run(_Deployment.keep)
+        worst = deployment.find_worst()
+        self.assertGreater(worst.extra, 0.8 * worst.allowed)
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -19,6 +19,7 @@
 
 _BOUNDS = gateway.BudgetBounds(ratio=0.2, slack=56, window_ms=10_000)
 _HOSTS = 8
+_SHARE = 1.0 / _HOSTS
 _SERVER = gateway.Server(
     instance_id="i-0",
     service="orders",
@@ -30,13 +31,13 @@
 
 
 def _try_send(
-    budget: gateway.AttemptBudget, hosts: float, is_hedge: bool = False
+    budget: gateway.AttemptBudget, share: float, is_hedge: bool = False
 ) -> bool:
     """Sends an extra attempt if the budget allows it; returns whether."""
-    attempt = budget.try_take(hosts, is_hedge)
-    if attempt is not None:
-        budget.record_sent(attempt)
-    return attempt is not None
+    if budget.find_denial(share, is_hedge) is not None:
+        return False
+    budget.record_sent(budget.take())
+    return True
 
 
 class AttemptBudgetTest(unittest.TestCase):
@@ -65,7 +66,7 @@
             budgets[host].add_request()
             requests.append(clock.now_ms())
             for _ in range(wanted):
-                if _try_send(budgets[host], _HOSTS):
+                if _try_send(budgets[host], _SHARE):
                     extras.append(clock.now_ms())
             start_ms = clock.now_ms() - _BOUNDS.window_ms
             recent = sum(1 for t in requests if t >= start_ms)
@@ -78,39 +79,37 @@
         budget = gateway.create_attempt_budget(
             _clocks.create_manual_clock(), _BOUNDS
         )
-        before = budget.compute_remaining(_HOSTS)
-        attempt = budget.try_take(_HOSTS)
-        assert attempt is not None
-        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        before = budget.compute_remaining(_SHARE)
+        self.assertIsNone(budget.find_denial(_SHARE))
+        attempt = budget.take()
+        self.assertEqual(budget.compute_remaining(_SHARE), before - 1)
         budget.refund(attempt)
-        self.assertEqual(budget.compute_remaining(_HOSTS), before)
+        self.assertEqual(budget.compute_remaining(_SHARE), before)
 
     def test_refund_leaves_a_later_attempt_in_the_window(self) -> None:
         clock = _clocks.create_manual_clock()
         budget = gateway.create_attempt_budget(clock, _BOUNDS)
-        before = budget.compute_remaining(_HOSTS)
-        unsent = budget.try_take(_HOSTS)
-        assert unsent is not None
+        before = budget.compute_remaining(_SHARE)
+        unsent = budget.take()
         clock.advance(_BOUNDS.window_ms - 1)
-        self.assertTrue(_try_send(budget, _HOSTS))
+        budget.record_sent(budget.take())
         budget.refund(unsent)
         clock.advance(_BOUNDS.window_ms - 1)
-        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        self.assertEqual(budget.compute_remaining(_SHARE), before - 1)
 
     def test_attempt_that_connects_slowly_counts_from_its_sending(self) -> None:
         clock = _clocks.create_manual_clock()
         budget = gateway.create_attempt_budget(clock, _BOUNDS)
-        before = budget.compute_remaining(_HOSTS)
-        attempt = budget.try_take(_HOSTS)
-        assert attempt is not None
+        before = budget.compute_remaining(_SHARE)
+        attempt = budget.take()
         # Longer than any connection takes, so that it counts while it lasts.
         clock.advance(2 * _BOUNDS.window_ms)
-        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        self.assertEqual(budget.compute_remaining(_SHARE), before - 1)
         budget.record_sent(attempt)
         clock.advance(_BOUNDS.window_ms)
-        self.assertEqual(budget.compute_remaining(_HOSTS), before - 1)
+        self.assertEqual(budget.compute_remaining(_SHARE), before - 1)
         clock.advance(_BOUNDS.held_ms - _BOUNDS.window_ms + 1)
-        self.assertEqual(budget.compute_remaining(_HOSTS), before)
+        self.assertEqual(budget.compute_remaining(_SHARE), before)
 
     def test_budget_is_idle_only_after_its_window(self) -> None:
         # Idle budgets are discarded; extra attempts in the window must not be.
@@ -123,9 +122,13 @@
 
     def test_hedges_leave_attempts_for_retries(self) -> None:
         # Each case: the number of hosts, the slack, the hedges that a host may
-        # send for three requests, and what is left for retries.
-        cases = ((8, 56, 4, 2.0), (64, 168, 2, 0.6))
-        for hosts, slack, hedges, left in cases:
+        # send for three requests, what is left for retries, and the reason why
+        # the next hedge is refused.
+        cases = (
+            (8, 56, 4, 2.0, gateway.Denial.RESERVED),
+            (64, 168, 2, 0.6, gateway.Denial.USED_UP),
+        )
+        for hosts, slack, hedges, left, denial in cases:
             with self.subTest(hosts):
                 budget = gateway.create_attempt_budget(
                     _clocks.create_manual_clock(),
@@ -136,9 +139,12 @@
                 for _ in range(3):
                     budget.add_request()
                 for _ in range(hedges):
-                    self.assertTrue(_try_send(budget, hosts, True))
-                self.assertFalse(_try_send(budget, hosts, True))
-                self.assertGreaterEqual(budget.compute_remaining(hosts), left)
+                    self.assertTrue(_try_send(budget, 1 / hosts, True))
+                self.assertFalse(_try_send(budget, 1 / hosts, True))
+                self.assertIs(budget.find_denial(1 / hosts, True), denial)
+                self.assertGreaterEqual(
+                    budget.compute_remaining(1 / hosts), left
+                )
 
 
 class CatalogTest(unittest.TestCase):
--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -145,7 +145,8 @@
         "seeds": (),
         "store_address": addresses[0],
         "grace_s": 4.0,
-        "budget": adapter.BudgetSettings(ratio=0.2, slack=800, window_s=10),
+        # Hosts that have just started get extra attempts by requests only.
+        "budget": adapter.BudgetSettings(ratio=10, slack=800, window_s=10),
     }
     return adapter.Settings(**{**defaults, **fields})
 
--- a/standins/cowslipvalve_standins/tests/test_budgetsoaks.py
+++ b/standins/cowslipvalve_standins/tests/test_budgetsoaks.py
@@ -1,8 +1,12 @@
-"""Tests of the count of extra arrivals, as the rule counts them."""
+"""Tests of the count of extra arrivals, and a short run of real hosts."""
 
+import pathlib
+import tempfile
 import unittest
 
 from cowslipvalve_standins import _arrivals
+from cowslipvalve_standins import _budgetsoaks
+from cowslipvalve_standins import _keptlogs
 from cowslipvalve_standins import _wireserver
 
 _SECOND_MS = 1_000.0
@@ -33,3 +37,20 @@
                     [end_ms] * 70, [end_ms - before_s * _SECOND_MS] * 100
                 )
                 self.assertEqual((worst.extra, worst.allowed), (70, allowed))
+
+
+class BudgetSoakTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_killed_and_replaced_hosts_keep_the_bound(self) -> None:
+        for fault in ("kill", "replace"):
+            with (
+                self.subTest(fault),
+                tempfile.TemporaryDirectory() as folder,
+            ):
+                path = pathlib.Path(folder)
+                soak = _budgetsoaks.BudgetSoak(path, 1)
+                result = await soak.run(fault, 25.0)
+                if result.worst.excess > 0:
+                    _keptlogs.keep_logs(f"{self.id()}-{fault}", path)
+                self.assertLessEqual(result.worst.excess, 0)
+                self.assertGreater(result.extra, 50)
