--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -163,17 +163,15 @@
         )
         if view is None:
             return False
+        extra = None
         # An attempt that is still connecting counts, as it will be sent too.
-        is_extra = bool(
-            self.attempts or self._running or self._repeat is not None
-        )
-        if is_extra and not self._context.budget(self.service).try_take(
-            self._context.catalog.count_sharers(self.service), is_hedge
-        ):
-            return False
+        if self.attempts or self._running or self._repeat is not None:
+            extra = self._context.try_take_extra(self.service, is_hedge)
+            if extra is None:
+                return False
         attempt = _attempts.Attempt(
             view=view,
-            is_extra=is_extra,
+            extra=extra,
             is_hedge=is_hedge,
             admission=self._context.limiter.admit(view),
         )
@@ -227,13 +225,15 @@
 
     def _refund(self, attempt: _attempts.Attempt) -> None:
         """Returns what was taken for an attempt that was not sent."""
-        if attempt.is_extra:
-            self._context.budget(self.service).refund()
+        if attempt.extra is not None:
+            self._context.budget(self.service).refund(attempt.extra)
         if attempt.admission is _limiters.Admission.TOKEN_TAKEN:
             attempt.view.rate_limit.refund()
 
     def _record_sent(self, attempt: _attempts.Attempt) -> None:
         attempt.sent_ms = self._context.clock.now_ms()
+        if attempt.extra is not None:
+            self._context.budget(self.service).record_sent(attempt.extra)
         self.attempts += 1
         self._context.measurements.count("attempts")
         if attempt.view.rate_limit.is_stated:
@@ -384,9 +384,6 @@
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
-        budget = self._context.budget(self.service).compute_remaining(
-            self._context.catalog.count_sharers(self.service)
-        )
         base.log_event(
             _logger,
             event,
@@ -395,6 +392,6 @@
             server=view.server.instance_id,
             slowness=f"{view.slowness:.2f}",
             running=view.running,
-            budget=f"{budget:.1f}",
+            **self._context.describe_budget(self.service),
             **fields,
         )
