--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -30,6 +30,8 @@
 from cowslipvalve_gateway._crashreports import create_crash_report_client
 from cowslipvalve_gateway._crashwatches import CrashWatch
 from cowslipvalve_gateway._crashwatches import create_crash_watch
+from cowslipvalve_gateway._errorlogs import ErrorLog
+from cowslipvalve_gateway._errorlogs import create_error_log
 from cowslipvalve_gateway._errors import BrokenConnectionError
 from cowslipvalve_gateway._errors import UnsentError
 from cowslipvalve_gateway._errors import RejectedError
@@ -153,6 +155,7 @@
     "CrashWatch",
     "Exoneration",
     "GROUP_PATH",
+    "ErrorLog",
     "Gateway",
     "GroupClient",
     "GroupHandler",
@@ -238,6 +241,7 @@
     "create_crash_report_client",
     "create_crash_report_handler",
     "create_crash_watch",
+    "create_error_log",
     "create_gateway",
     "create_group_client",
     "create_group_handler",
