Start background tasks again after unexpected errors

Seen: a host ends with status 1 if the store answers JSON of another shape (an object without meta, no events, no revision, a revision that is no number), or if a seed or the record of a host has a name that cannot be encoded ("a..b:8104", which check_address takes).

Cause: only PlatformError and HostUnavailableError were expected. A KeyError, TypeError or UnicodeError left the task of a mode.Service, which stops the whole host.

A watch that starts again takes its kind for unconfirmed, so that a state that lacks changes is not passed on as fresh.

Tasks that create_task starts (notices, crash reports, attempts) do not end the host; their errors reach the event loop and its bounded log.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -112,6 +112,7 @@
 from cowslipvalve_gateway._resources import ServerState
 from cowslipvalve_gateway._resources import Server
 from cowslipvalve_gateway._resources import HostRecord
+from cowslipvalve_gateway._restarts import restart_on_error
 from cowslipvalve_gateway._selectors import ServerSelector
 from cowslipvalve_gateway._selectors import create_server_selector
 from cowslipvalve_gateway._serverclients import ServerProtocol
@@ -271,5 +272,6 @@
     "merge_records",
     "rank_holders",
     "read_body",
+    "restart_on_error",
     "start_logs",
 ]
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -18,6 +18,7 @@
 from cowslipvalve_gateway import _hostclients
 from cowslipvalve_gateway import _replicas
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _restarts
 from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _stores
 from cowslipvalve_gateway import _watcherchoices
@@ -96,6 +97,7 @@
             )
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _register(self) -> None:
         """Registers this host, so that the others count and can query it.
 
@@ -129,6 +131,7 @@
         return False
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _compare(self) -> None:
         """Compares what this host knows with another watcher, in turn."""
         while not self.should_stop:
@@ -169,6 +172,7 @@
                 self._replica.take_table(whole)
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _follow(self) -> None:
         source = None
         while not self.should_stop:
--- a/packages/gateway/cowslipvalve_gateway/_groupclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupclients.py
@@ -57,7 +57,12 @@
             raise _errors.UnsentError(
                 f"cannot connect: {error!r}", step="ask-group", peer=address
             ) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,  # Of names that cannot be encoded.
+        ) as error:
             raise _create_error(address, repr(error)) from error
         is_complete = False
         try:
--- a/packages/gateway/cowslipvalve_gateway/_hostclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostclients.py
@@ -85,6 +85,7 @@
             TimeoutError,
             aiohttp.ClientError,
             OSError,
+            ValueError,  # Of names that cannot be encoded.
             base.InputError,
         ) as error:
             raise _create_unavailable_error(address, repr(error)) from error
--- a/packages/gateway/cowslipvalve_gateway/_hostposts.py
+++ b/packages/gateway/cowslipvalve_gateway/_hostposts.py
@@ -80,6 +80,7 @@
         TimeoutError,
         aiohttp.ClientError,
         OSError,
+        ValueError,  # Of names that cannot be encoded.
         base.InputError,
     ) as error:
         cause = repr(error)
--- a/packages/gateway/cowslipvalve_gateway/_limitreaders.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitreaders.py
@@ -19,6 +19,7 @@
 from cowslipvalve_gateway import _limitnotices
 from cowslipvalve_gateway import _quarantines
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _restarts
 
 # How long requests wait for the limits: a round trip between regions over a new
 # connection. After a power loss the hosts that are asked start as well.
@@ -63,6 +64,7 @@
         await self._done.wait()
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _read(self) -> None:
         try:
             asked = await self._ask_hosts()
--- a/packages/gateway/cowslipvalve_gateway/_looplags.py
+++ b/packages/gateway/cowslipvalve_gateway/_looplags.py
@@ -5,6 +5,7 @@
 import mode
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _restarts
 
 # A fan-out over 100 shards takes this long on half a core.
 _SAMPLE_PERIOD_MS = 100.0
@@ -36,6 +37,7 @@
         return max((present_ms, *self._samples_ms))
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _measure(self) -> None:
         while not self.should_stop:
             self._due_ms = self._clock.now_ms() + _SAMPLE_PERIOD_MS
--- a/packages/gateway/cowslipvalve_gateway/_upkeeps.py
+++ b/packages/gateway/cowslipvalve_gateway/_upkeeps.py
@@ -6,6 +6,7 @@
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _replicas
+from cowslipvalve_gateway import _restarts
 
 _LAPSE_CHECK_MS = 250.0
 _PREPARE_CHECK_MS = 100.0
@@ -25,6 +26,7 @@
         self._clock = clock
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _remove_lapsed(self) -> None:
         while not self.should_stop:
             await self._clock.sleep_ms(_LAPSE_CHECK_MS)
@@ -32,6 +34,7 @@
             self._replica.end_repairs()
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _prepare_connections(self) -> None:
         while not self.should_stop:
             pools = self._catalog.unprepared_pools()[:_MAX_CONCURRENT_CONNECTS]
--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -9,6 +9,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _replicas
+from cowslipvalve_gateway import _restarts
 from cowslipvalve_gateway import _stores
 
 # Bounds how long a broken watch hides changes. Each wait costs one call, so
@@ -81,6 +82,7 @@
         finally:
             self._replica.is_watching = False
 
+    @_restarts.restart_on_error
     async def _probe(self) -> None:
         """Probes the store periodically.
 
@@ -102,8 +104,11 @@
                 self._end_watches()
             self._confirm_state()
 
+    @_restarts.restart_on_error
     async def _follow(self, kind: _stores.StateKind) -> None:
         """Lists one kind of state if necessary, then watches it."""
+        # After an error the state of this kind may lack changes.
+        self._confirmed.discard(kind)
         backoff_ms = _FIRST_BACKOFF_MS
         must_list = self._replica.log.position(kind) is None
         while True:
