Stop with status 0 when nobody reads the output

Cause: each line that could not be written went to logging's own error report; at its exit the interpreter writes what is buffered, and exits with 120 if it cannot.

Change: a line that the output does not take counts as dropped. The same holds for a full disk behind the output, which was not tried.

--- a/packages/gateway/cowslipvalve_gateway/_logs.py
+++ b/packages/gateway/cowslipvalve_gateway/_logs.py
@@ -80,6 +80,20 @@
             self._measurements.count("log_lines_dropped")
 
 
+class _LineWriter(logging.StreamHandler[Any]):
+    """Writes records; counts those that the output does not take."""
+
+    def __init__(self, measurements: _measurements.Measurements) -> None:
+        super().__init__(sys.stdout)
+        self._measurements = measurements
+
+    def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802
+        if isinstance(sys.exc_info()[1], OSError):
+            self._measurements.count("log_lines_dropped")
+        else:
+            super().handleError(record)
+
+
 def start_logs(
     measurements: _measurements.Measurements,
 ) -> handlers.QueueListener:
@@ -89,7 +103,7 @@
       The queue listener; its stop method writes the queued records.
     """
     records: queue.Queue[Any] = queue.Queue(maxsize=_QUEUE_CAPACITY_LINES)
-    writer = logging.StreamHandler(sys.stdout)
+    writer = _LineWriter(measurements)
     writer.setFormatter(
         logfmter.Logfmter(keys=_LOGFMT_KEYS, mapping=_LOGFMT_MAPPING)
     )
--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import sys
+from typing import IO
 
 import aiohttp
 import attrs
@@ -70,12 +71,21 @@
         """Returns the output of all processes of this host."""
         return self.log_path.read_text()
 
-    async def start(self) -> None:
-        """Writes the settings and starts a process."""
+    async def start(
+        self, output: IO[bytes] | None = None, errors: IO[bytes] | None = None
+    ) -> None:
+        """Writes the settings and starts a process.
+
+        Args:
+          output: Where its standard output goes; None for the log.
+          errors: Where its standard error goes; None for the log.
+        """
         self.settings_path.write_bytes(self.encode_settings())
-        await self.start_process()
+        await self.start_process(output, errors)
 
-    async def start_process(self) -> None:
+    async def start_process(
+        self, output: IO[bytes] | None = None, errors: IO[bytes] | None = None
+    ) -> None:
         """Starts a process, with the settings file as it is."""
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -86,8 +96,8 @@
                     "COWSLIPVALVE_SETTINGS": str(self.settings_path),
                     "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
                 },
-                stdout=log,
-                stderr=log,
+                stdout=output or log,
+                stderr=errors or log,
             )
 
     def send_signal(self, signal_number: signal.Signals) -> None:
