--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -31,6 +31,8 @@
 from cowslipvalve_gateway._crashreports import create_crash_report_client
 from cowslipvalve_gateway._crashwatches import CrashWatch
 from cowslipvalve_gateway._crashwatches import create_crash_watch
+from cowslipvalve_gateway._errorlogs import ErrorLog
+from cowslipvalve_gateway._errorlogs import create_error_log
 from cowslipvalve_gateway._errors import BrokenConnectionError
 from cowslipvalve_gateway._errors import UnsentError
 from cowslipvalve_gateway._errors import RejectedError
@@ -111,6 +113,7 @@
 from cowslipvalve_gateway._resources import ServerState
 from cowslipvalve_gateway._resources import Server
 from cowslipvalve_gateway._resources import HostRecord
+from cowslipvalve_gateway._restarts import restart_on_error
 from cowslipvalve_gateway._selectors import ServerSelector
 from cowslipvalve_gateway._selectors import create_server_selector
 from cowslipvalve_gateway._serverclients import ServerProtocol
@@ -155,6 +158,7 @@
     "Denial",
     "Exoneration",
     "GROUP_PATH",
+    "ErrorLog",
     "Gateway",
     "GroupClient",
     "GroupHandler",
@@ -240,6 +244,7 @@
     "create_crash_report_client",
     "create_crash_report_handler",
     "create_crash_watch",
+    "create_error_log",
     "create_gateway",
     "create_group_client",
     "create_group_handler",
@@ -269,5 +274,6 @@
     "merge_records",
     "rank_holders",
     "read_body",
+    "restart_on_error",
     "start_logs",
 ]
