Drop a request that was given up instead of delivering it later

An attempt that timed out or was superseded closed its connection, and the kernel went on to deliver what it held of the request: behind a cut, that is once the cut ends. The server then got an arrival that no budget counted in its window, and could run a request whose caller had its answer.

A connection whose request has no answer yet is now reset when it is closed (SO_LINGER with 0 s), so that bytes which were not delivered are dropped. A connection carries one exchange at a time, so a reset takes no other answer away; one whose answer was received, or that is idle, is closed in order as before. A host that is killed still leaves its kernel's buffers to the server.

test_request_that_was_given_up_is_not_delivered_later sends more than the server's receive buffer holds: on the code before, the server read on to an orderly end; now the connection ends with a reset and less has arrived.

--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -1,6 +1,8 @@
 """An HTTP/1.1 client connection to a backend server."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import attrs
@@ -12,6 +14,7 @@
 _FIRST_FINAL_STATUS = 200
 _HEADER_OVERHEAD_BYTES = 4  # ": " and CRLF.
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # On, for 0 s; see socket(7).
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +70,8 @@
         self._is_head_complete = False
         self._is_self_delimiting = False
         self._is_unusable = False
+        # Whether a request was written whose answer has not been received.
+        self._is_unanswered = False
         self.idle_timeout_s: float | None = None
 
     @property
@@ -100,6 +105,7 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
+        self._is_unanswered = True
         self._transport.write(request)
         try:
             return await self._waiter
@@ -108,10 +114,18 @@
             self._release_memory()
 
     def close(self) -> None:
-        """Aborts the connection, which tells the server to stop its work."""
+        """Aborts the connection, which tells the server to stop its work.
+
+        A request that waits for a lost link is not delivered later.
+        """
         self._is_unusable = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._is_unanswered:
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
@@ -246,6 +260,7 @@
         self._head_start = self._received_bytes
         self._head_bytes = 0
         if self._is_expected(answer):
+            self._is_unanswered = False
             self._waiter.set_result(answer)
         elif self._transport is None:
             self._fail("the only answer received belongs to another request")
--- a/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 from collections.abc import Iterator
 
@@ -15,9 +16,12 @@
     max_total_bytes=900_000,
     guaranteed_bytes=10_000,
 )
+# More than a small receive buffer holds, less than a send buffer.
+_SENT_BYTES = 100_000
 # What the kernel's buffers of a loopback connection hold beside the limit.
 _BUFFERED_BYTES = 8_000_000
 _OK = b"HTTP/1.1 200 OK\r\n"
+_REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 _CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
 _PIECE = b"x" * 4_096
 _CHUNK = b"1000\r\n" + _PIECE + b"\r\n"
@@ -208,6 +212,55 @@
         pool.close()
 
 
+class ClosingTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self) -> None:
+        """Listens; the kernel accepts connections that nothing reads yet."""
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        self.addCleanup(self.listener.close)
+        port = self.listener.getsockname()[1]
+        self.pool = gateway.create_server_pool(
+            base.create_clock(), f"127.0.0.1:{port}", 4
+        )
+        self.connection = await self.pool.acquire(1_000.0)
+        self.server, _ = self.listener.accept()
+        self.addCleanup(self.server.close)
+        self.server.settimeout(5.0)
+
+    async def test_request_that_was_given_up_is_not_delivered_later(
+        self,
+    ) -> None:
+        # Else it runs once a cut ends, when another attempt has its place.
+        request = b"x" * _SENT_BYTES
+        call = asyncio.ensure_future(
+            self.connection.exchange(request, lambda _: True)
+        )
+        await asyncio.sleep(0.05)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.connection.close()
+        await asyncio.sleep(0.05)
+        received = 0
+        with self.assertRaises(ConnectionResetError):
+            while piece := self.server.recv(_SENT_BYTES):
+                received += len(piece)
+        self.assertLess(received, _SENT_BYTES)
+
+    async def test_connection_with_an_answer_ends_without_reset(self) -> None:
+        call = asyncio.ensure_future(
+            self.connection.exchange(_REQUEST, lambda _: True)
+        )
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.server.recv(1_000), _REQUEST)
+        self.server.sendall(_OK + b"Content-Length: 0\r\n\r\n")
+        await call
+        self.pool.release(self.connection)
+        self.pool.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.server.recv(1), b"")
+
+
 class ServerPoolTest(unittest.IsolatedAsyncioTestCase):
 
     async def test_connection_released_after_close_is_closed(self) -> None:
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -177,6 +177,8 @@
                 await reader.read(1)
         except TimeoutError:
             return True
+        except ConnectionResetError:
+            pass  # Hosts reset the connections of requests they give up.
         self.abandoned_ids.append(request_id)
         return False
 
