Earn extra attempts in each part of the window, not only in the whole

Each host let its requests of a whole window earn extra attempts that it could send at once.

A host now keeps to the ratio and its share also in the last quarter, half and three quarters of the window, so that a move earns a quarter twice at most. Parts round up to whole attempts, as few requests at a host would else seldom earn one. The fifth of the slack that is left unused covers what moves still earn twice; that is its reason now, beside hosts that join while others are cut off.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -3,8 +3,9 @@
 An extra attempt is any attempt after the first one of a request.
 """
 
-import collections
+import bisect
 import enum
+import math
 
 import attrs
 
@@ -15,6 +16,8 @@
 # The rest covers callers' requests that move from one host to another within a
 # window, and hosts that join while others are cut off and count without them.
 _USABLE_SLACK_SHARE = 0.8
+# The parts of the window in which a host keeps to the bounds by itself.
+_PARTS = (0.25, 0.5, 0.75)
 # A packet that is lost once arrives that much later than it was sent.
 _ARRIVAL_MARGIN_MS = 500.0
 
@@ -46,12 +49,12 @@
     USED_UP = "used_up"
 
 
-@attrs.define(kw_only=True, eq=False)
+@attrs.frozen(kw_only=True, eq=False)
 class ExtraAttempt:
-    """An extra attempt that was allowed."""
+    """An extra attempt that was allowed, to be sent or refunded."""
 
-    # When it was sent, on the process's clock; None before that.
-    sent_ms: float | None = None
+    # When it was taken from the budget, on the process's clock.
+    taken_ms: float
 
 
 class AttemptBudget:
@@ -67,9 +70,10 @@
     def __init__(self, clock: base.Clock, bounds: BudgetBounds) -> None:
         self._clock = clock
         self.bounds = bounds
-        self._requests: collections.deque[float] = collections.deque()
+        # The times of requests and of sent extra attempts, in order.
+        self._requests: list[float] = []
+        self._sent: list[float] = []
         self._unsent: set[ExtraAttempt] = set()
-        self._sent: collections.deque[ExtraAttempt] = collections.deque()
 
     @property
     def is_idle(self) -> bool:
@@ -88,23 +92,36 @@
           share: This host's share of the slack, 0 to 1.
         """
         self._evict_expired()
-        taken = len(self._unsent) + len(self._sent)
-        return self._compute_allowance(share) - taken
+        whole = self._compute_allowance(share) - len(self._sent)
+        parts = (self._compute_of_part(share, part) for part in _PARTS)
+        return min(whole, *parts) - len(self._unsent)
+
+    def _compute_of_part(self, share: float, part: float) -> float:
+        """Returns what the last part of the window allows, less what was sent.
+
+        Else callers that move from one host to another would earn extra
+        attempts at both in the same window.
+        """
+        start_ms = self._clock.now_ms() - self.bounds.window_ms * part
+        requests = len(self._requests) - bisect.bisect_left(
+            self._requests, start_ms
+        )
+        sent = len(self._sent) - bisect.bisect_left(self._sent, start_ms)
+        allowance = self.bounds.ratio * requests + self._compute_slack(share)
+        # Few requests at a host would else seldom earn a whole attempt.
+        return math.ceil(allowance) - sent
 
     def _compute_allowance(self, share: float) -> float:
-        slack = self.bounds.slack * _USABLE_SLACK_SHARE * share
-        return self.bounds.ratio * len(self._requests) + slack
+        earned = self.bounds.ratio * len(self._requests)
+        return earned + self._compute_slack(share)
+
+    def _compute_slack(self, share: float) -> float:
+        return self.bounds.slack * _USABLE_SLACK_SHARE * share
 
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        while self._requests and (
-            self._requests[0] < now_ms - self.bounds.window_ms
-        ):
-            self._requests.popleft()
-        while self._sent and (
-            (self._sent[0].sent_ms or 0.0) < now_ms - self.bounds.held_ms
-        ):
-            self._sent.popleft()
+        _evict_before(self._requests, now_ms - self.bounds.window_ms)
+        _evict_before(self._sent, now_ms - self.bounds.held_ms)
 
     def find_denial(
         self, share: float, is_hedge: bool = False
@@ -129,21 +146,24 @@
 
         Only to be called if there is no denial.
         """
-        attempt = ExtraAttempt()
+        attempt = ExtraAttempt(taken_ms=self._clock.now_ms())
         self._unsent.add(attempt)
         return attempt
 
     def record_sent(self, attempt: ExtraAttempt) -> None:
         """Counts an extra attempt as sent now."""
         self._unsent.discard(attempt)
-        attempt.sent_ms = self._clock.now_ms()
-        self._sent.append(attempt)
+        self._sent.append(self._clock.now_ms())
 
     def refund(self, attempt: ExtraAttempt) -> None:
         """Refunds an extra attempt that was taken but not sent."""
         self._unsent.discard(attempt)
 
 
+def _evict_before(times_ms: list[float], start_ms: float) -> None:
+    del times_ms[: bisect.bisect_left(times_ms, start_ms)]
+
+
 def create_attempt_budget(
     clock: base.Clock, bounds: BudgetBounds
 ) -> AttemptBudget:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -1,4 +1,4 @@
-"""Tests of the extra attempts of all hosts while hosts come and go."""
+"""Tests of the extra attempts of all hosts while hosts or callers move."""
 
 import itertools
 import random
@@ -45,6 +45,7 @@
 _NEWS_MS = 2_900.0  # A change reaches each host within this time.
 _TRANSIT_MS = 400.0  # The longest way of an attempt to its server.
 _EVENT_STEPS = 30  # Hosts come or go every 1.5 s.
+_FAILING_SHARE = 0.5  # Of the time in which callers move.
 _GRACE_MS = 4_000.0  # A host serves that long after it has left the others.
 
 
@@ -229,3 +230,81 @@
         deployment.run(_Deployment.keep)
         worst = deployment.find_worst()
         self.assertGreater(worst.extra, 0.8 * worst.allowed)
+
+
+class _Traffic:
+    """Callers that change hosts or load, and servers that fail at times."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._clock = _clocks.create_manual_clock()
+        self._budgets = [
+            gateway.create_attempt_budget(self._clock, _BOUNDS)
+            for _ in range(_HOST_COUNT)
+        ]
+        self._asked = self._budgets
+        self._load = 1.0
+        self._is_failing = False
+        self._requests_ms: list[float] = []
+        self._extra_ms: list[float] = []
+
+    def run(self, change: Callable[["_Traffic"], None]) -> _arrivals.WindowUse:
+        """Runs for a time; returns the worst window."""
+        end_ms = self._clock.now_ms() + _LOAD_MS
+        change_ms = fail_ms = 0.0
+        while self._clock.now_ms() < end_ms:
+            self._clock.advance(_STEP_MS)
+            if self._clock.now_ms() >= change_ms:
+                change_ms = self._clock.now_ms() + self._draw_period()
+                change(self)
+            if self._clock.now_ms() >= fail_ms:
+                fail_ms = self._clock.now_ms() + self._draw_period()
+                self._is_failing = self._rng.random() < _FAILING_SHARE
+            for _ in range(round(_REQUESTS_PER_STEP * self._load)):
+                self._request()
+        return _arrivals.find_worst_window(self._extra_ms, self._requests_ms)
+
+    def move(self) -> None:
+        """Moves all callers to some hosts."""
+        count = self._rng.randint(1, _HOST_COUNT)
+        self._asked = self._rng.sample(self._budgets, count)
+
+    def press(self) -> None:
+        """Changes the load."""
+        self._load = self._rng.choice((0.0, 0.5, 1.0, 2.0, 3.0))
+
+    def _draw_period(self) -> float:
+        return self._rng.uniform(500.0, 12_000.0)
+
+    def _request(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._requests_ms.append(now_ms)
+        budget = self._rng.choice(self._asked)
+        budget.add_request()
+        for _ in range(_EXTRA_PER_REQUEST if self._is_failing else 0):
+            if budget.find_denial(1.0 / _HOST_COUNT) is None:
+                budget.record_sent(budget.take())
+                self._extra_ms.append(now_ms)
+
+
+class TrafficTest(unittest.TestCase):
+
+    def test_callers_that_move_or_press_earn_no_attempts_twice(self) -> None:
+        for change in (_Traffic.move, _Traffic.press):
+            for seed in range(1, 26):
+                with self.subTest(change.__name__, seed=seed):
+                    worst = _Traffic(seed).run(change)
+                    self.assertLessEqual(worst.extra, worst.allowed)
+
+    def test_few_requests_at_a_host_earn_whole_attempts(self) -> None:
+        # As many as a window allows, though its parts allow none by themselves.
+        clock = _clocks.create_manual_clock()
+        budget = gateway.create_attempt_budget(clock, _BOUNDS)
+        sent = 0
+        for _ in range(10):
+            clock.advance(1_000.0)
+            budget.add_request()
+            if budget.find_denial(0.0) is None:
+                budget.record_sent(budget.take())
+                sent += 1
+        self.assertEqual(sent, 2)
