Count shards that a substitute does not know as asked before

If the preferred host of a group fell silent, its substitute was asked. For shards of which that one knew no servers, the entry host asked directly as if for the first time, although the silent host may have sent the request to servers: the arrival counted as a request in place of an extra attempt, and could exceed the attempts of the route.

The entry host now asks such shards as repeats, as it does where both hosts fail. On the code before, the new test fails for a silent first host and for one that told which servers it asked; an unsent request stays a first one. Found by reading; not seen in a run.

--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -150,6 +150,8 @@
             self._deadline_ms,
             self._list_asked(),
         )
+        # Whether another host than this one may have sent it.
+        is_repeat = self.was_sent
         reports = self._context.groups.ask(
             host.state_address, message, _SILENCE_MS
         )
@@ -161,10 +163,13 @@
                     self._asked.update(
                         zip(message.route.shards, report.asked, strict=False)
                     )
-                self._take_report(host, report)
+                self._take_report(host, report, is_repeat)
 
     def _take_report(
-        self, host: _resources.HostRecord, report: _groupmessages.GroupReport
+        self,
+        host: _resources.HostRecord,
+        report: _groupmessages.GroupReport,
+        is_repeat: bool,
     ) -> None:
         self._record_leaving(report)
         if not report.answered and not report.failed and not report.unknown:
@@ -201,7 +206,7 @@
             ):
                 self._context.shard_waits.record(shard, wait_ms)
         # This host may know servers that the other one does not know yet.
-        self._ask_directly(report.unknown, False)
+        self._ask_directly(report.unknown, is_repeat)
 
     def _record_leaving(self, report: _groupmessages.GroupReport) -> None:
         """Leaves alone what the other host's answers say is leaving."""
