Test what logs and counters tell of a refused extra attempt

The budget's fields of log lines and refused_extra_attempts came with the shares over the window; this shows them for a host in its start and for one that has used up its share.

--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -129,6 +129,15 @@
         """Does any of these."""
         self._rng.choice((self.kill, self.stop, self.replace))()
 
+    def start_one(self) -> gateway.CallContext:
+        """Starts a host beside those that run; returns its context."""
+        self._add()
+        return self._hosts[-1].context
+
+    def advance(self, duration_ms: float) -> None:
+        """Lets time pass without load."""
+        self._advance(duration_ms)
+
     def _list_serving(self) -> list[_Host]:
         now_ms = self._clock.now_ms()
         return [h for h in self._hosts if h.end_ms > now_ms]
@@ -232,6 +241,43 @@
         self.assertGreater(worst.extra, 0.8 * worst.allowed)
 
 
+class BudgetReportTest(unittest.TestCase):
+
+    def test_logs_and_counts_tell_why_an_attempt_is_refused(self) -> None:
+        deployment = _Deployment(1)
+        context = deployment.start_one()
+        # The time since the start in ms, the attempts that are allowed, what
+        # the log says, and the reason that is counted for the next one.
+        cases = (
+            (
+                5_000.0,
+                0,
+                {
+                    "budget": "0.0",
+                    "slack_share": "0.0000",
+                    "has_slack": False,
+                },
+                "no_share",
+            ),
+            (
+                _LEAD_MS + _NEWS_MS,
+                44,
+                {"budget": "0.8", "slack_share": "1.0000", "has_slack": True},
+                "used_up",
+            ),
+        )
+        for time_ms, allowed, fields, reason in cases:
+            with self.subTest(reason):
+                deployment.advance(time_ms)
+                for _ in range(allowed):
+                    extra = context.try_take_extra(_SERVICE, False)
+                    self.assertIsNotNone(extra)
+                self.assertIsNone(context.try_take_extra(_SERVICE, False))
+                self.assertEqual(context.describe_budget(_SERVICE), fields)
+                counts = context.measurements.read_counts()
+                self.assertEqual(counts["refused_extra_attempts", reason], 1)
+
+
 class _Traffic:
     """Callers that change hosts or load, and servers that fail at times."""
 
