Add the place where a host follows its links to the servers

Only the interface: the host counts as reaching its servers, as before. What it learns of its links and what it does with that are commits of their own.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -115,6 +115,8 @@
 from cowslipvalve_gateway._serverclients import ServerProtocol
 from cowslipvalve_gateway._serverclients import ServerClient
 from cowslipvalve_gateway._serverclients import create_server_client
+from cowslipvalve_gateway._serverlinks import ServerLinks
+from cowslipvalve_gateway._serverlinks import create_server_links
 from cowslipvalve_gateway._callcontexts import CallContext
 from cowslipvalve_gateway._shardwaits import ShardWaits
 from cowslipvalve_gateway._shardwaits import create_shard_waits
@@ -204,6 +206,7 @@
     "Server",
     "ServerAnswer",
     "ServerClient",
+    "ServerLinks",
     "ServerConnection",
     "ServerEnd",
     "ServerPool",
@@ -256,6 +259,7 @@
     "create_quarantine",
     "create_rate_limit",
     "create_server_client",
+    "create_server_links",
     "create_server_pool",
     "create_server_selector",
     "create_shard_waits",
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -15,6 +15,7 @@
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
+from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _shardwaits
 
 
@@ -48,6 +49,8 @@
     shard_waits: _shardwaits.ShardWaits
     # Notices requests under which servers end.
     crashes: _crashwatches.CrashWatch
+    # Which servers this host cannot reach.
+    links: _serverlinks.ServerLinks
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
