Ask shards that are out of reach through other hosts

Callers of a host that had lost its links to the servers got 503 or 502 to fan-outs, or waited until their deadline: the host asked the shards itself, though other hosts still reached them.

A stranded host refuses groups at once, having sent nothing, and passes none on, so that no request goes in a circle.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -30,6 +30,8 @@
 from cowslipvalve_gateway._crashreports import create_crash_report_client
 from cowslipvalve_gateway._crashwatches import CrashWatch
 from cowslipvalve_gateway._crashwatches import create_crash_watch
+from cowslipvalve_gateway._detours import Detours
+from cowslipvalve_gateway._detours import create_detours
 from cowslipvalve_gateway._errors import BrokenConnectionError
 from cowslipvalve_gateway._errors import UnsentError
 from cowslipvalve_gateway._errors import RejectedError
@@ -58,6 +60,7 @@
 from cowslipvalve_gateway._hostclients import StateHandler
 from cowslipvalve_gateway._hostclients import create_host_client
 from cowslipvalve_gateway._hostclients import create_state_handler
+from cowslipvalve_gateway._hostrefusals import HostRefusalReason
 from cowslipvalve_gateway._logs import VolumeFilter
 from cowslipvalve_gateway._logs import start_logs
 from cowslipvalve_gateway._looplags import LoopLag
@@ -153,6 +156,7 @@
     "CrashReportClient",
     "CrashReportHandler",
     "CrashWatch",
+    "Detours",
     "Exoneration",
     "GROUP_PATH",
     "Gateway",
@@ -166,6 +170,7 @@
     "HostClient",
     "HostHealth",
     "HostRecord",
+    "HostRefusalReason",
     "HostUnavailableError",
     "LimitHandler",
     "LimitList",
@@ -241,6 +246,7 @@
     "create_crash_report_client",
     "create_crash_report_handler",
     "create_crash_watch",
+    "create_detours",
     "create_gateway",
     "create_group_client",
     "create_group_handler",
--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -32,11 +32,18 @@
             False,
             context.crashes.compute_remaining_ms(request),
         )
+    # Whether another host can ask; not computed before it is needed.
+    has_helper: bool | None = None
     usable = 0
     # Until when all servers of a shard take no request, for each such shard.
     waits_ms: list[float] = []
     for service in route.shards:
         views = context.selector.find_usable(route, service)
+        if context.links.is_cut_off(service, views):
+            if has_helper is None:
+                has_helper = bool(context.detours.find_helpers(route))
+            if not has_helper:
+                continue
         pause_ms = context.selector.find_pause_ms(route, service)
         usable += bool(views or pause_ms)
         wait_ms = pause_ms or _compute_wait_ms(context, route, service, views)
@@ -74,6 +81,8 @@
     views: list[_servers.ServerView],
 ) -> float:
     """Returns for how many ms the servers of a shard take no request."""
+    if context.links.is_cut_off(service, views):
+        return context.shard_waits.find_wait_ms(service)
     if context.limiter.is_exhausted(views):
         return context.limiter.compute_wait_ms(views)
     planner = context.catalog.planner
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -8,11 +8,13 @@
 from cowslipvalve_gateway import _budgets
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _crashwatches
+from cowslipvalve_gateway import _detours
 from cowslipvalve_gateway import _groupclients
 from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _limitreaders
 from cowslipvalve_gateway import _measurements
+from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
 from cowslipvalve_gateway import _serverlinks
@@ -51,6 +53,8 @@
     crashes: _crashwatches.CrashWatch
     # Which servers this host cannot reach.
     links: _serverlinks.ServerLinks
+    # The hosts through which this host reaches the servers that it cannot.
+    detours: _detours.Detours
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
@@ -70,6 +74,11 @@
             if name in names or not budget.is_idle
         }
 
+    def is_cut_off(self, route: _resources.Route, service: str) -> bool:
+        """Whether requests to a service are to go through another host."""
+        usable = self.selector.find_usable(route, service)
+        return self.links.is_cut_off(service, usable)
+
     def budget(self, service: str) -> _budgets.AttemptBudget:
         """Returns the budget of a service, created on first use."""
         if service not in self._by_service:
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -7,6 +7,7 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupcalls
+from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
@@ -18,6 +19,8 @@
 _RESPONSE_MARGIN_TARGET_SHARE = 0.08
 # The part of the target for queueing, merging and sending to the caller.
 _MIN_RESPONSE_MARGIN_MS = 20.0
+# Another host asks up to so many shards within the targets.
+_MAX_DETOUR_SHARDS = 40
 # The time to read the last reports of other hosts, all at once.
 _GROUP_MARGIN_MS = 6.0
 
@@ -26,9 +29,10 @@
     """Sends a request to all shards of a route and merges their answers.
 
     The shards of a large fan-out are asked by several hosts, in groups; those
-    of a small one by this host. Until shortly before the route's target time,
-    the fan-out waits for a part from every shard. From then on it returns as
-    soon as the parts reach the route's minimum coverage.
+    of a small one by this host. Shards whose servers this host does not reach
+    are asked by other hosts. Until shortly before the route's target time, the
+    fan-out waits for a part from every shard. From then on it returns as soon
+    as the parts reach the route's minimum coverage.
     """
 
     def __init__(
@@ -41,8 +45,17 @@
         self._context = context
         self._route = route
         self._deadline_ms = deadline_ms
+        cut_off = {
+            shard: None
+            for shard in route.shards
+            if context.is_cut_off(route, shard)
+        }
         planner = context.catalog.planner
         groups = planner.find_groups(route.shards) if planner else ()
+        direct = () if groups else route.shards
+        if cut_off and not groups:
+            direct = tuple(s for s in direct if s not in cut_off)
+            groups = _create_detour_groups(tuple(cut_off))
         self._target_ms = (
             request.received_ms
             + route.target_ms
@@ -61,6 +74,7 @@
                 self._target_ms,
                 deadline_ms,
                 self,
+                is_detour=any(s in cut_off for s in group.shards),
             )
             for group in groups
         ]
@@ -73,7 +87,7 @@
                 deadline_ms,
                 self._record_settled,
             )
-            for service in (() if groups else route.shards)
+            for service in direct
         ]
 
     @property
@@ -197,6 +211,17 @@
             group_call.abandon()
 
 
+def _create_detour_groups(
+    shards: tuple[str, ...],
+) -> tuple[_groupplans.ShardGroup, ...]:
+    return tuple(
+        _groupplans.ShardGroup(
+            shards=shards[start : start + _MAX_DETOUR_SHARDS], hosts=()
+        )
+        for start in range(0, len(shards), _MAX_DETOUR_SHARDS)
+    )
+
+
 def _compute_margin_ms(route: _resources.Route, is_grouped: bool) -> float:
     """Returns how long before the target the last parts must be in."""
     margin_ms = max(
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -16,12 +16,16 @@
 from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _groupplans
+from cowslipvalve_gateway import _hostrefusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 
 # Two intervals without a report; the interval allows for a busy host.
 _SILENCE_MS = 2 * _groupgathers.PROGRESS_INTERVAL_MS
 
+# How many helpers may answer that they do not reach a shard either.
+_MAX_FURTHER_HELPERS = 2
+
 _logger = logging.getLogger(__name__)
 
 
@@ -66,8 +70,8 @@
 class GroupCall:
     """Asks the hosts of a group one after the other, then asks directly.
 
-    Attributes:
-      was_sent: Whether another host may have sent the request to servers.
+    Shards whose servers this host does not reach are not asked directly, but by
+    helpers: hosts that reach them.
     """
 
     def __init__(
@@ -79,7 +83,23 @@
         target_at_ms: float,
         deadline_ms: float,
         listener: PartsListener,
+        is_detour: bool = False,
+        excluded: frozenset[str] = frozenset(),
     ) -> None:
+        """Creates a call that is not started.
+
+        Args:
+          context: The state that all calls share.
+          request: The caller's request.
+          route: The request's route.
+          group: The shards, and the hosts to ask.
+          target_at_ms: When the parts should be here, on the process's clock.
+          deadline_ms: When to give up, on the process's clock.
+          listener: Receives the results.
+          is_detour: Whether this host does not reach servers of the group.
+            Helpers are then asked after the group's other hosts.
+          excluded: The names of hosts that are not asked as helpers.
+        """
         self._context = context
         self._request = request
         self._route = route
@@ -91,13 +111,22 @@
         # The server that another host asked first, by shard.
         self._asked: dict[str, str] = {}
         self._direct_calls: list[_servicecalls.ServiceCall] = []
+        self._further_calls: list[GroupCall] = []
         self._task: asyncio.Task[None] | None = None
-        self.was_sent = False
+        self._is_detour = is_detour
+        self._excluded = excluded
+        self._was_sent = False
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether another host may have sent the request to servers."""
+        return self._was_sent or any(f.was_sent for f in self._further_calls)
 
     @property
     def attempts(self) -> int:
         """The number of attempts that this host sent to servers."""
-        return sum(call.attempts for call in self._direct_calls)
+        direct = sum(call.attempts for call in self._direct_calls)
+        return direct + sum(call.attempts for call in self._further_calls)
 
     def start(self) -> None:
         """Starts to ask."""
@@ -110,32 +139,59 @@
         for call in self._direct_calls:
             if not call.is_settled:
                 call.abandon()
+        for further in self._further_calls:
+            further.abandon()
 
     async def _run(self) -> None:
-        hosts = self._group.hosts
-        health = self._context.host_health
-        trusted = [h for h in hosts if not health.is_suspect(h.name)]
-        for host in trusted:
+        for host in self._find_hosts():
             if host.name == self._context.own_name:
                 break
-            try:
-                await self._ask(host)
-            except (
-                _errors.UnsentError,
-                _errors.HostUnavailableError,
-            ) as error:
-                if not isinstance(error, _errors.UnsentError):
-                    self.was_sent = True
-                health.record_failure(host.name)
-                self._log_failure(host, error)
-                continue
-            health.record_success(host.name)
-            break
-        self._ask_directly(tuple(self._remaining), self.was_sent)
+            if await self._try_to_ask(host):
+                break
+        cut_off = self._ask_directly_if_reached(
+            tuple(self._remaining), self._was_sent
+        )
+        self._ask_further(cut_off, not self._is_detour and not self._was_sent)
+
+    def _find_hosts(self) -> list[_resources.HostRecord]:
+        """Returns the hosts to ask, in order."""
+        context = self._context
+        hosts = {
+            host.name: host
+            for host in self._group.hosts
+            if not context.host_health.is_suspect(host.name)
+            and not context.detours.is_refusing(host.name)
+        }
+        if self._is_detour:
+            hosts.pop(context.own_name, None)
+            helpers = context.detours.find_helpers(self._route, self._excluded)
+            hosts.update((helper.name, helper) for helper in helpers)
+        return list(hosts.values())
+
+    async def _try_to_ask(self, host: _resources.HostRecord) -> bool:
+        """Asks a host; returns whether it did what it was asked for."""
+        if self._is_detour:
+            self._log("detour", host)
+        try:
+            await self._ask(host)
+        except _hostrefusals.HostRefusedError as error:
+            self._context.detours.record_refusal(host.name, error.reason)
+            self._log("host-refused", host, error=error)
+            return False
+        except (_errors.UnsentError, _errors.HostUnavailableError) as error:
+            if not isinstance(error, _errors.UnsentError):
+                self._was_sent = True
+            self._context.host_health.record_failure(host.name)
+            self._context.measurements.count("failed_group_requests")
+            self._log("group-failed", host, sent=self._was_sent, error=error)
+            return False
+        self._context.host_health.record_success(host.name)
+        self._context.detours.record_success(host.name)
+        return True
 
     def _list_asked(self) -> tuple[str, ...]:
         """Returns the first server of each open shard, for a repeat."""
-        if not self.was_sent:
+        if not self._was_sent:
             return ()
         return tuple(self._asked.get(shard, "") for shard in self._remaining)
 
@@ -149,14 +205,17 @@
             self._target_at_ms,
             self._deadline_ms,
             self._list_asked(),
+            self._is_detour,
         )
         reports = self._context.groups.ask(
-            host.state_address, message, _SILENCE_MS
+            host.state_address,
+            message,
+            _SILENCE_MS + self._context.detours.find_round_trip_ms(host),
         )
         # Reads on to the end, so that the connection can be used again.
         async with contextlib.aclosing(reports):
             async for report in reports:
-                self.was_sent = True
+                self._was_sent = True
                 if report.asked:
                     self._asked.update(
                         zip(message.route.shards, report.asked, strict=False)
@@ -186,6 +245,8 @@
             )
         for shard in shards:
             del self._remaining[shard]
+        if self._is_detour:
+            self._record_detour(report)
         if report.answered:
             self._listener.add_parts(
                 Parts(
@@ -200,8 +261,16 @@
                 report.failed, report.waits_ms, strict=False
             ):
                 self._context.shard_waits.record(shard, wait_ms)
-        # This host may know servers that the other one does not know yet.
-        self._ask_directly(report.unknown, False)
+        # This host may know or reach servers that the other one does not.
+        cut_off = self._ask_directly_if_reached(report.unknown, False)
+        self._excluded |= {host.name}
+        self._ask_further(cut_off, len(self._excluded) <= _MAX_FURTHER_HELPERS)
+
+    def _record_detour(self, report: _groupmessages.GroupReport) -> None:
+        for shard in report.answered:
+            self._context.links.record_detour(shard, True)
+        for shard in report.unreached:
+            self._context.links.record_detour(shard, False)
 
     def _record_leaving(self, report: _groupmessages.GroupReport) -> None:
         """Leaves alone what the other host's answers say is leaving."""
@@ -210,6 +279,43 @@
             if view and view.server.started_ms == leaving.started_ms:
                 view.withdrawal.record_leaving()
 
+    def _ask_directly_if_reached(
+        self, shards: tuple[str, ...], is_repeat: bool
+    ) -> tuple[str, ...]:
+        """Asks shards from this host; returns those that it does not reach."""
+        cut_off = [
+            shard
+            for shard in shards
+            if self._context.is_cut_off(self._route, shard)
+        ]
+        self._ask_directly(
+            tuple(shard for shard in shards if shard not in cut_off), is_repeat
+        )
+        return tuple(cut_off)
+
+    def _ask_further(self, shards: tuple[str, ...], may_ask: bool) -> None:
+        """Asks shards from further helpers; else they have failed."""
+        if not shards:
+            return
+        for shard in shards:
+            self._remaining.pop(shard, None)
+        if not may_ask:
+            self._listener.add_failed(shards)
+            return
+        further = GroupCall(
+            self._context,
+            self._request,
+            self._route,
+            _groupplans.ShardGroup(shards=shards, hosts=()),
+            self._target_at_ms,
+            self._deadline_ms,
+            self._listener,
+            is_detour=True,
+            excluded=self._excluded,
+        )
+        self._further_calls.append(further)
+        further.start()
+
     def _ask_directly(self, shards: tuple[str, ...], is_repeat: bool) -> None:
         """Asks shards from this host."""
         calls = [
@@ -235,16 +341,14 @@
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
         report_settled(call, self._listener)
 
-    def _log_failure(
-        self, host: _resources.HostRecord, error: base.CowslipvalveError
+    def _log(
+        self, event: str, host: _resources.HostRecord, **fields: object
     ) -> None:
-        self._context.measurements.count("failed_group_requests")
         base.log_event(
             _logger,
-            "group-failed",
+            event,
             request=self._request.request_id,
             host=host.name,
             lacking=len(self._remaining),
-            sent=self.was_sent,
-            error=error,
+            **fields,
         )
--- a/packages/gateway/cowslipvalve_gateway/_groupclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupclients.py
@@ -8,6 +8,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _groupmessages
+from cowslipvalve_gateway import _hostrefusals
 
 _HTTP_OK = 200
 # After a busy turn of the event loop a time-out may come before bytes that
@@ -36,6 +37,7 @@
 
         Raises:
           UnsentError: The host could not be reached; it has not the request.
+          HostRefusedError: The host refused the request and has sent nothing.
           HostUnavailableError: The host refused the request, its response
             broke off or is invalid, or it was silent for too long.
         """
@@ -61,6 +63,7 @@
             raise _create_error(address, repr(error)) from error
         is_complete = False
         try:
+            _hostrefusals.raise_if_refused(response, address)
             if response.status != _HTTP_OK:
                 raise _create_error(address, f"status {response.status}")
             while line := await _read_line(address, response, silence_ms):
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -18,6 +18,7 @@
 _REPORT_MARGIN_MS = 8.0
 # The other host waits twice this time before it replaces this host.
 PROGRESS_INTERVAL_MS = 30.0
+_NO_SERVER = _calls.RefusalReason.NO_SERVER
 
 
 class GroupGather:
@@ -39,11 +40,11 @@
         # The shards that failed, with the time until their servers' rate
         # limits allow a request.
         self._failed: dict[str, float] = {}
+        self._unreached: list[str] = []
         self._unknown = [
             service
             for service in message.route.shards
-            if not context.selector.find_usable(message.route, service)
-            and not context.selector.find_pause_ms(message.route, service)
+            if _is_out_of_reach(context, message.route, service)
         ]
         repeats = {
             service: _attempts.Repeat(server=server)
@@ -145,6 +146,7 @@
             records=base64.b64encode(records).decode(),
             failed=tuple(self._failed),
             waits_ms=tuple(self._failed.values()),
+            unreached=tuple(self._unreached),
             unknown=tuple(self._unknown),
             leaving=tuple(
                 _groupmessages.LeavingServer(
@@ -155,6 +157,7 @@
             ),
         )
         self._answered, self._failed, self._unknown = [], {}, []
+        self._unreached = []
         return report
 
     def _find_leaving(self, service: str) -> list[_resources.Server]:
@@ -168,9 +171,19 @@
             self._answered.append(call)
         else:
             self._failed[call.service] = call.wait_ms
+            if not call.attempts and call.reason is _NO_SERVER:
+                self._unreached.append(call.service)
         self._changed.set()
 
 
+def _is_out_of_reach(
+    context: _callcontexts.CallContext, route: _resources.Route, service: str
+) -> bool:
+    if context.selector.find_usable(route, service):
+        return context.is_cut_off(route, service)
+    return not context.selector.find_pause_ms(route, service)
+
+
 def create_group_gather(
     context: _callcontexts.CallContext, message: _groupmessages.GroupRequest
 ) -> GroupGather:
--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -10,6 +10,7 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
+from cowslipvalve_gateway import _hostrefusals
 from cowslipvalve_gateway import _looplags
 
 _HTTP_BAD_REQUEST = 400
@@ -39,7 +40,15 @@
         self.running_requests = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Returns the response to one group request."""
+        """Returns the response to one group request.
+
+        A host that does not reach the servers refuses it and never passes it
+        on, so that no request goes in a circle.
+        """
+        if self._context.links.is_stranded:
+            return _hostrefusals.create_response(
+                _hostrefusals.HostRefusalReason.STRANDED
+            )
         try:
             message = base.decode(
                 _groupmessages.GroupRequest, await request.read()
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -38,6 +38,8 @@
     # Empty unless another host may have sent the request to servers; else the
     # server that it asked first for each shard, empty if that is unknown.
     asked: tuple[str, ...] = ()
+    # Whether the other host asks because it does not reach these servers.
+    is_detour: bool = False
 
     @property
     def is_repeat(self) -> bool:
@@ -90,7 +92,9 @@
     # For each of them, for how many ms the rate limits of its servers are used
     # up; 0 if it failed for another reason.
     waits_ms: tuple[float, ...] = ()
-    # The shards of which the host knows no server; nothing was sent.
+    # Those of the failed shards none of whose servers was reached.
+    unreached: tuple[str, ...] = ()
+    # The shards of which the host knows or reaches no server; nothing was sent.
     unknown: tuple[str, ...] = ()
     # The servers of the answered shards that leave.
     leaving: tuple[LeavingServer, ...] = ()
@@ -124,6 +128,7 @@
     target_at_ms: float,
     deadline_ms: float,
     asked: tuple[str, ...],
+    is_detour: bool,
 ) -> GroupRequest:
     """Creates the message for a group; the route's shards are the group's."""
     return GroupRequest(
@@ -139,4 +144,5 @@
         remaining_ms=deadline_ms - now_ms,
         target_remaining_ms=target_at_ms - now_ms,
         asked=asked,
+        is_detour=is_detour,
     )
