Relay single requests that a host cannot send to servers

Callers of a stranded host got 503 to requests for one service, or waited until their deadline: the host never passed single requests on, though other hosts reached the servers.

The answer reaches the caller whole.

- One that may run twice goes on as a repeat, with the first server, so that both hosts keep to the route's attempts together.
It passes nothing on.
Quarantined requests are refused before the detour.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -102,6 +102,15 @@
 from cowslipvalve_gateway._ratelimits import NO_LIMIT
 from cowslipvalve_gateway._ratelimits import RateLimit
 from cowslipvalve_gateway._ratelimits import create_rate_limit
+from cowslipvalve_gateway._relayadmissions import RelayAdmission
+from cowslipvalve_gateway._relayadmissions import create_relay_admission
+from cowslipvalve_gateway._relayclients import RelayClient
+from cowslipvalve_gateway._relayclients import create_relay_client
+from cowslipvalve_gateway._relayhandlers import RelayHandler
+from cowslipvalve_gateway._relayhandlers import create_relay_handler
+from cowslipvalve_gateway._relaymessages import RELAY_PATH
+from cowslipvalve_gateway._relaymessages import RelayReport
+from cowslipvalve_gateway._relaymessages import RelayRequest
 from cowslipvalve_gateway._replicas import StateMessage
 from cowslipvalve_gateway._replicas import StateReplica
 from cowslipvalve_gateway._replicas import create_state_replica
@@ -199,6 +208,7 @@
     "QuarantineEntry",
     "QuarantineList",
     "RECORD_BYTES",
+    "RELAY_PATH",
     "REPORT_PATH",
     "RateLimit",
     "RateLimitedError",
@@ -206,6 +216,11 @@
     "Refusal",
     "RefusalReason",
     "RejectedError",
+    "RelayAdmission",
+    "RelayClient",
+    "RelayHandler",
+    "RelayReport",
+    "RelayRequest",
     "Route",
     "RoutingTable",
     "Server",
@@ -264,6 +279,9 @@
     "create_permit_client",
     "create_quarantine",
     "create_rate_limit",
+    "create_relay_admission",
+    "create_relay_client",
+    "create_relay_handler",
     "create_server_client",
     "create_server_links",
     "create_server_pool",
--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -53,6 +53,11 @@
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
 
+    def withdraw_request(self) -> None:
+        """Withdraws a counted request that another host is to send."""
+        if self._requests:
+            self._requests.pop()
+
     def compute_remaining(self, hosts: float) -> float:
         """Returns how many more extra attempts this window allows.
 
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -14,6 +14,7 @@
 from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _limitreaders
 from cowslipvalve_gateway import _measurements
+from cowslipvalve_gateway import _relayclients
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
@@ -45,6 +46,8 @@
     own_name: str
     # Sends group requests to other hosts.
     groups: _groupclients.GroupClient
+    # Sends requests to other hosts, which relay them to servers.
+    relays: _relayclients.RelayClient
     # Which other hosts have failed recently.
     host_health: _hosthealth.HostHealth
     # Which shards other hosts may not ask for now.
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -11,6 +11,7 @@
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _singleoutcomes
 
 # Parts that arrive within this time share a report, which saves messages.
 _REPORT_DELAY_MS = 12.0
@@ -18,7 +19,6 @@
 _REPORT_MARGIN_MS = 8.0
 # The other host waits twice this time before it replaces this host.
 PROGRESS_INTERVAL_MS = 30.0
-_NO_SERVER = _calls.RefusalReason.NO_SERVER
 
 
 class GroupGather:
@@ -171,7 +171,7 @@
             self._answered.append(call)
         else:
             self._failed[call.service] = call.wait_ms
-            if not call.attempts and call.reason is _NO_SERVER:
+            if _singleoutcomes.is_unreached(call):
                 self._unreached.append(call.service)
         self._changed.set()
 
--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -12,6 +12,7 @@
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _hostrefusals
 from cowslipvalve_gateway import _looplags
+from cowslipvalve_gateway import _relayadmissions
 
 _HTTP_BAD_REQUEST = 400
 # The event loop may have caught up since its lag was measured.
@@ -33,10 +34,14 @@
     """
 
     def __init__(
-        self, context: _callcontexts.CallContext, lag: _looplags.LoopLag
+        self,
+        context: _callcontexts.CallContext,
+        lag: _looplags.LoopLag,
+        admission: _relayadmissions.RelayAdmission,
     ) -> None:
         self._context = context
         self._lag = lag
+        self._admission = admission
         self.running_requests = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -63,10 +68,24 @@
             return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
         self.running_requests += 1
         try:
-            return await self._respond(request, message, gather)
+            if not message.is_detour:
+                return await self._respond(request, message, gather)
+            return await self._respond_to_detour(request, message, gather)
         finally:
             self.running_requests -= 1
 
+    async def _respond_to_detour(
+        self,
+        request: web.BaseRequest,
+        message: _groupmessages.GroupRequest,
+        gather: _groupgathers.GroupGather,
+    ) -> web.StreamResponse:
+        with self._admission.count_running(len(message.route.shards)):
+            refusal = self._admission.find_refusal()
+            if refusal is not None:
+                return _hostrefusals.create_response(refusal)
+            return await self._respond(request, message, gather)
+
     def _subtract_lag(
         self, message: _groupmessages.GroupRequest
     ) -> _groupmessages.GroupRequest:
@@ -126,7 +145,16 @@
 
 
 def create_group_handler(
-    context: _callcontexts.CallContext, lag: _looplags.LoopLag
+    context: _callcontexts.CallContext,
+    lag: _looplags.LoopLag,
+    admission: _relayadmissions.RelayAdmission,
 ) -> GroupHandler:
-    """Creates the handler of group requests."""
-    return GroupHandler(context, lag)
+    """Creates the handler of group requests.
+
+    Args:
+      context: The state that all calls share.
+      lag: The lag of this host's event loop.
+      admission: Bounds the requests that are sent for hosts that do not reach
+        the servers.
+    """
+    return GroupHandler(context, lag, admission)
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -6,6 +6,7 @@
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _requestmessages
 from cowslipvalve_gateway import _resources
 
 GROUP_PATH = "/group"
@@ -52,7 +53,7 @@
         Raises:
           InputError: The body is not base64.
         """
-        body = _decode_base64(self.body, "read-group-request")
+        body = _requestmessages.decode_base64(self.body, "read-group-request")
         return _calls.CallerRequest(
             request_id=self.request_id,
             method=self.method,
@@ -110,14 +111,7 @@
                 f"{len(self.proofs)} proofs for {len(self.answered)} parts",
                 step="read-group-report",
             )
-        return _decode_base64(self.records, "read-group-report")
-
-
-def _decode_base64(text: str, step: str) -> bytes:
-    try:
-        return base64.b64decode(text, validate=True)
-    except ValueError as error:  # Not ASCII, or not base64.
-        raise base.InputError(f"not base64: {error}", step=step) from error
+        return _requestmessages.decode_base64(self.records, "read-group-report")
 
 
 def create_group_request(
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_hoststreams.py
@@ -0,0 +1,119 @@
+"""Requests to other hosts that report on their work in lines of JSON."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from typing import TypeVar
+
+import aiohttp
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hostrefusals
+
+_HTTP_OK = 200
+# After a busy turn of the event loop a time-out may come before bytes that
+# have already arrived are read.
+_REREAD_TIMEOUT_MS = 5.0
+
+_Report = TypeVar("_Report")
+
+
+async def ask(
+    session: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    message: object,
+    report_type: type[_Report],
+    connect_timeout_ms: float,
+    silence_ms: float,
+) -> AsyncGenerator[_Report, None]:
+    """Yields the reports of a host until its response ends.
+
+    Args:
+      session: The HTTP session.
+      address: The state address of the host.
+      path: What the request is about.
+      message: The request, encoded as JSON.
+      report_type: The type of the reports.
+      connect_timeout_ms: The longest time to connect.
+      silence_ms: The longest time to wait for the next report.
+
+    Raises:
+      UnsentError: The host could not be reached; it has not the request.
+      HostRefusedError: The host refused the request and has sent nothing.
+      HostUnavailableError: The host did not do what it was asked for, its
+        response broke off or is invalid, or it was silent for too long.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=base.to_seconds(connect_timeout_ms)
+    )
+    try:
+        # The time to connect and the time to the first report.
+        async with asyncio.timeout(
+            base.to_seconds(connect_timeout_ms + silence_ms)
+        ):
+            response = await session.post(
+                f"http://{address}{path}",
+                data=base.encode(message),
+                timeout=timeout,
+            )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise _errors.UnsentError(
+            f"cannot connect: {error!r}", step=f"post {path}", peer=address
+        ) from error
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise _create_error(address, path, repr(error)) from error
+    is_complete = False
+    try:
+        _hostrefusals.raise_if_refused(response, address)
+        if response.status != _HTTP_OK:
+            raise _create_error(address, path, f"status {response.status}")
+        while line := await _read_line(address, path, response, silence_ms):
+            yield _decode(address, path, report_type, line)
+        is_complete = True
+    finally:
+        # Closing the connection cancels the work of the other host.
+        if is_complete:
+            response.release()
+        else:
+            response.close()
+
+
+async def _read_line(
+    address: str, path: str, response: aiohttp.ClientResponse, silence_ms: float
+) -> bytes:
+    """Returns the next line, empty at the end of a complete response."""
+    timeouts_ms = (silence_ms, _REREAD_TIMEOUT_MS)
+    for timeout_ms in timeouts_ms:
+        try:
+            async with asyncio.timeout(base.to_seconds(timeout_ms)):
+                line = await response.content.readline()
+        except TimeoutError:
+            continue
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # ValueError: a line is longer than the reader's buffer.
+            raise _create_error(address, path, repr(error)) from error
+        return line
+    raise _create_error(address, path, f"no report within {silence_ms:.0f} ms")
+
+
+def _decode(
+    address: str, path: str, report_type: type[_Report], line: bytes
+) -> _Report:
+    try:
+        return base.decode(report_type, line)
+    except base.InputError as error:
+        raise _create_error(address, path, str(error)) from error
+
+
+def _create_error(
+    address: str, path: str, cause: str
+) -> _errors.HostUnavailableError:
+    return _errors.HostUnavailableError(
+        f"the host did not do what it was asked for: {cause}",
+        step=f"post {path}",
+        peer=address,
+    )
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -0,0 +1,197 @@
+"""Server side of relayed requests between hosts (HTTP, lines of JSON)."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _attempts
+from cowslipvalve_gateway import _callcontexts
+from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _hostrefusals
+from cowslipvalve_gateway import _looplags
+from cowslipvalve_gateway import _relayadmissions
+from cowslipvalve_gateway import _relaymessages
+from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _singleoutcomes
+
+_HTTP_BAD_REQUEST = 400
+# The event loop may have caught up since its lag was measured.
+_MAX_LAG_SHARE = 0.5
+_LINE_END = b"\n"
+# The other host waits twice this time before it replaces this host.
+PROGRESS_INTERVAL_MS = 30.0
+
+_logger = logging.getLogger(__name__)
+
+
+class RelayHandler:
+    """Sends requests to servers for a host that does not reach them.
+
+    The response starts at once, with the server that is asked, and ends with
+    the outcome. If the other host closes the connection, the handler's task is
+    cancelled, which ends the server's work.
+
+    Attributes:
+      running_requests: The number of requests in progress.
+    """
+
+    def __init__(
+        self,
+        context: _callcontexts.CallContext,
+        lag: _looplags.LoopLag,
+        admission: _relayadmissions.RelayAdmission,
+    ) -> None:
+        self._context = context
+        self._lag = lag
+        self._admission = admission
+        self.running_requests = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Returns the response to one relayed request.
+
+        A host that does not reach the servers refuses it and never passes it
+        on, so that no request goes in a circle.
+        """
+        self.running_requests += 1
+        try:
+            with self._admission.count_running(1):
+                return await self._handle(request)
+        finally:
+            self.running_requests -= 1
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        refusal = self._admission.find_refusal()
+        if refusal is not None:
+            return _hostrefusals.create_response(refusal)
+        received_ms = self._context.clock.now_ms()
+        try:
+            message = base.decode(
+                _relaymessages.RelayRequest, await request.read()
+            )
+            caller_request = message.request.to_caller_request(
+                received_ms, self._subtract_lag(message.remaining_ms)
+            )
+        except base.InputError as error:
+            base.log_event(
+                _logger, "relay-malformed", logging.WARNING, error=error
+            )
+            return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
+        if self._context.is_cut_off(message.route, message.service):
+            return _hostrefusals.create_response(
+                _hostrefusals.HostRefusalReason.STRANDED
+            )
+        return await self._respond(request, message, caller_request)
+
+    def _subtract_lag(self, remaining_ms: float) -> float:
+        """Returns a remaining time less the time that it waited unread."""
+        lag_ms = min(self._lag.recent_ms, remaining_ms * _MAX_LAG_SHARE)
+        return remaining_ms - lag_ms
+
+    async def _respond(
+        self,
+        request: web.BaseRequest,
+        message: _relaymessages.RelayRequest,
+        caller_request: _calls.CallerRequest,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        # A host that was frozen reads the close of the connection after the
+        # request; it must not start work then.
+        await asyncio.sleep(0)
+        settled = asyncio.Event()
+        call = _servicecalls.ServiceCall(
+            self._context,
+            caller_request,
+            message.route,
+            message.service,
+            caller_request.deadline_ms,
+            lambda _: settled.set(),
+            repeat=_create_repeat(message),
+        )
+        call.start()
+        try:
+            await _write(
+                response, _relaymessages.RelayReport(asked=call.first_server)
+            )
+            while not await self._wait(settled, caller_request.deadline_ms):
+                await _write(
+                    response,
+                    _relaymessages.RelayReport(asked=call.first_server),
+                )
+            outcome = _singleoutcomes.create_outcome(
+                self._context, caller_request, call
+            )
+        finally:
+            if not call.is_settled:
+                call.abandon()
+        self._record(message, caller_request, call, outcome)
+        for report in _relaymessages.create_last_reports(
+            outcome, _singleoutcomes.is_unreached(call)
+        ):
+            await _write(response, report)
+        await response.write_eof()
+        return response
+
+    async def _wait(self, settled: asyncio.Event, deadline_ms: float) -> bool:
+        """Waits until the outcome is known or a report is due."""
+        remaining_ms = deadline_ms - self._context.clock.now_ms()
+        try:
+            async with asyncio.timeout(
+                base.to_seconds(min(PROGRESS_INTERVAL_MS, remaining_ms))
+            ):
+                await settled.wait()
+        except TimeoutError:
+            return self._context.clock.now_ms() >= deadline_ms
+        return True
+
+    def _record(
+        self,
+        message: _relaymessages.RelayRequest,
+        request: _calls.CallerRequest,
+        call: _servicecalls.ServiceCall,
+        outcome: _calls.Outcome,
+    ) -> None:
+        is_answered = isinstance(outcome, _calls.ServerAnswer)
+        if is_answered:
+            self._context.crashes.record_answer(request)
+        self._context.measurements.count("relayed_requests")
+        base.log_event(
+            _logger,
+            "relayed",
+            request=request.request_id,
+            route=message.route.name,
+            call=call.describe(),
+            answered=is_answered,
+            repeat=message.is_repeat,
+        )
+
+
+def _create_repeat(
+    message: _relaymessages.RelayRequest,
+) -> _attempts.Repeat | None:
+    if not message.is_repeat:
+        return None
+    return _attempts.Repeat(server=message.asked)
+
+
+async def _write(
+    response: web.StreamResponse, report: _relaymessages.RelayReport
+) -> None:
+    await response.write(base.encode(report) + _LINE_END)
+
+
+def create_relay_handler(
+    context: _callcontexts.CallContext,
+    lag: _looplags.LoopLag,
+    admission: _relayadmissions.RelayAdmission,
+) -> RelayHandler:
+    """Creates the handler of relayed requests.
+
+    Args:
+      context: The state that all calls share.
+      lag: The lag of this host's event loop.
+      admission: Bounds the requests that are sent for other hosts.
+    """
+    return RelayHandler(context, lag, admission)
