Stand-in: cut a host of the test's process from its servers

A host that is cut off still reaches the store, other hosts and its callers, so a proxy before a server can't stand for it: all hosts of a wire test share the server's address. A context variable now names the host while it is started; its tasks and listeners inherit it, and the loop's create_connection asks the cuts of that host. Cuts hold bytes back (both ways or one way), reset open connections or let them live on, and new connections hang or are refused; for all servers or some. Held bytes, connections and closes go through once the cut ends, as with TCP.

--- a/standins/cowslipvalve_standins/_wiredeployments.py
+++ b/standins/cowslipvalve_standins/_wiredeployments.py
@@ -16,6 +16,7 @@
 
 import cowslipvalve_adapter as adapter
 from cowslipvalve_standins import _deployments
+from cowslipvalve_standins import _servercuts
 from cowslipvalve_standins import _wireserver
 from cowslipvalve_standins import _wirestore
 
@@ -160,6 +161,7 @@
       addresses: The address of the store, and those of the default host for
         callers, readiness, metrics and state.
       session: The session of the callers.
+      cuts: Cuts hosts from servers; a test that uses it installs it first.
       version: The last configuration version that was written.
     """
 
@@ -177,6 +179,7 @@
         self.addresses = [f"127.0.0.1:{port}" for port in ports]
         self.session = aiohttp.ClientSession(auto_decompress=False)
         self.addAsyncCleanup(self.session.close)
+        self.cuts = _servercuts.create_server_cuts()
         self.version = 0
 
     async def add_server(
@@ -201,6 +204,7 @@
         self, server: _wireserver.WireServer, service: str, **fields: Any
     ) -> None:
         """Writes the registration of a server to the store."""
+        self.cuts.add_server(server.address)
         entry = create_registration(server, service, **fields)
         self.store.put("servers", server.instance_id, entry)
 
@@ -255,7 +259,8 @@
 
     async def _start(self, settings: adapter.Settings) -> adapter.Host:
         host = adapter.create_host(settings)
-        await host.start()
+        with self.cuts.attribute_to(settings.host):
+            await host.start()
         self.addAsyncCleanup(host.stop)
         return host
 
