Tell a host's lost links from servers that are gone

The host took each server for a failed one: it ejected them all, and then tried them nevertheless.

Each server now has a link. A connect that fails, or takes over 200 ms, makes it unreached; an answer or a connection makes it reached. A request without an answer is followed by a connect, which kernels accept for a paused process too. If a server becomes unreached and none is heard from, the host connects to servers of the other failure domains, and counts as stranded once six servers (all, if there are fewer) and one of each domain have failed. A connection that a probe opens goes to the pool; a server gets at most one probe in a second.

While a service is cut off, calls end at once with no_server and nothing sent, if there are other hosts; attempts that wait are ended and not held against the servers. Servers that are not reached are not asked while others are. A loss that comes back within 10 s, and that another host has shown to be this host's own, is held for 0.5 s, then longer, up to 4 s. Detours that reach no server either pause for 0.5 to 8 s, so that servers that are really gone cost none for each request.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -58,6 +58,8 @@
 from cowslipvalve_gateway._hostclients import StateHandler
 from cowslipvalve_gateway._hostclients import create_host_client
 from cowslipvalve_gateway._hostclients import create_state_handler
+from cowslipvalve_gateway._linkprobes import LinkProbing
+from cowslipvalve_gateway._linkprobes import create_link_probing
 from cowslipvalve_gateway._logs import VolumeFilter
 from cowslipvalve_gateway._logs import start_logs
 from cowslipvalve_gateway._looplags import LoopLag
@@ -175,6 +177,7 @@
     "LimitReader",
     "LimitShare",
     "Limiter",
+    "LinkProbing",
     "LoopLag",
     "LostAnswerError",
     "Measurements",
@@ -252,6 +255,7 @@
     "create_limit_news",
     "create_limit_reader",
     "create_limiter",
+    "create_link_probing",
     "create_loop_lag",
     "create_measurements",
     "create_notice_client",
--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/_attemptlogs.py
@@ -0,0 +1,44 @@
+"""Log lines about the attempts of calls."""
+
+import logging
+
+import cowslipvalve_base as base
+from cowslipvalve_gateway import _callcontexts
+from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _servers
+
+_logger = logging.getLogger(__name__)
+
+
+def log_attempt(
+    context: _callcontexts.CallContext,
+    request: _calls.CallerRequest,
+    service: str,
+    event: str,
+    view: _servers.ServerView,
+    **fields: object,
+) -> None:
+    """Logs an event of an attempt, with the state that decisions rest on.
+
+    Args:
+      context: The state that all calls share.
+      request: The caller's request.
+      service: The service that is asked.
+      event: The name of the event.
+      view: The server of the attempt.
+      **fields: What else is to be told.
+    """
+    budget = context.budget(service).compute_remaining(
+        context.catalog.count_sharers(service)
+    )
+    base.log_event(
+        _logger,
+        event,
+        request=request.request_id,
+        service=service,
+        server=view.server.instance_id,
+        slowness=f"{view.slowness:.2f}",
+        running=view.running,
+        budget=f"{budget:.1f}",
+        **fields,
+    )
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -5,13 +5,12 @@
 import math
 from collections.abc import Collection
 
-import attrs
-
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _statementmemories
 
@@ -24,14 +23,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
-class _PendingRemoval:
-    """The scheduled removal of a server whose registration ended."""
-
-    # When the server is removed, on the process's clock.
-    remove_at_ms: float
-
-
 class Catalog:
     """The newest known state.
 
@@ -57,9 +48,11 @@
         regions: dict[str, str],
         planner: _groupplans.GroupPlanner | None,
         memory: _answerbounds.AnswerMemory,
+        links: _serverlinks.ServerLinks,
     ) -> None:
         self._clock = clock
         self._memory = memory
+        self._links = links
         self._regions = regions
         self.planner = planner
         self.table: _resources.RoutingTable | None = None
@@ -70,7 +63,8 @@
         self._shards: frozenset[str] = frozenset()
         self._views: dict[str, _servers.ServerView] = {}
         self._by_service: dict[str, list[_servers.ServerView]] = {}
-        self._pending_removals: dict[str, _PendingRemoval] = {}
+        # When servers whose registration ended are removed.
+        self._pending_removals: dict[str, float] = {}
         self._statements = _statementmemories.create_statement_memory(clock)
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
@@ -247,9 +241,7 @@
             self._remove(instance_id, "gone")
             return
         remove_at_ms = self._clock.now_ms() + grace_ms
-        self._pending_removals.setdefault(
-            instance_id, _PendingRemoval(remove_at_ms=remove_at_ms)
-        )
+        self._pending_removals.setdefault(instance_id, remove_at_ms)
 
     def retain_servers(self, names: frozenset[str], grace_ms: float) -> None:
         """Removes, after a grace period, servers that a listing lacks.
@@ -267,8 +259,8 @@
     def remove_lapsed(self) -> None:
         """Removes servers that did not register again in their grace period."""
         now_ms = self._clock.now_ms()
-        for name, removal in list(self._pending_removals.items()):
-            if removal.remove_at_ms <= now_ms:
+        for name, remove_at_ms in list(self._pending_removals.items()):
+            if remove_at_ms <= now_ms:
                 self._remove(name, "lapsed")
 
     def unprepared_pools(self) -> list[_pools.ServerPool]:
@@ -339,7 +331,11 @@
 
     def _add(self, server: _resources.Server) -> None:
         view = _servers.create_server_view(
-            self._clock, server, _MIN_CONNECTIONS, self._memory
+            self._clock,
+            server,
+            _MIN_CONNECTIONS,
+            self._memory,
+            self._links.add(server),
         )
         self._statements.restore(view)
         self._set_connection_limits(view)
@@ -360,6 +356,7 @@
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
+        self._links.remove(view.link)
         self._statements.keep(view)
         base.log_event(
             _logger, "server-removed", server=instance_id, reason=reason
@@ -383,6 +380,7 @@
     regions: dict[str, str],
     planner: _groupplans.GroupPlanner | None = None,
     limits: _answerbounds.AnswerLimits | None = None,
+    links: _serverlinks.ServerLinks | None = None,
 ) -> Catalog:
     """Creates an empty catalog.
 
@@ -392,6 +390,8 @@
       planner: Plans the groups of this host's domain; None if this host asks
         all shards itself.
       limits: The limits on servers' answers; None for the defaults.
+      links: Follows the links to the servers; None if nobody does.
     """
     memory = _answerbounds.create_answer_memory(limits)
-    return Catalog(clock, regions, planner, memory)
+    links = links or _serverlinks.create_server_links(clock)
+    return Catalog(clock, regions, planner, memory, links)
--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -113,6 +113,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def cut(self) -> None:
+        """Ends the exchange and closes the connection: its link is lost."""
+        self._fail("the link to the server is lost", _errors.LinkLostError)
+        self.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         assert isinstance(transport, asyncio.Transport)
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -35,6 +35,10 @@
     """The connection was lost before any byte of an answer."""
 
 
+class LinkLostError(LostAnswerError):
+    """This host lost its link to the server while it awaited the answer."""
+
+
 class HistoryGoneError(base.PlatformError):
     """The store has discarded the changes after a revision; list again."""
 
--- a/packages/gateway/cowslipvalve_gateway/_failures.py
+++ b/packages/gateway/cowslipvalve_gateway/_failures.py
@@ -10,6 +10,7 @@
     _errors.PoolBusyError,
     _errors.RateLimitedError,
     _errors.WithdrawnError,
+    _errors.LinkLostError,
 )
 
 
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import errno
+import functools
 import logging
 import math
 
@@ -9,6 +11,7 @@
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _connections
 from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _links
 
 # The server's idle timer may expire up to a round trip earlier.
 _IDLE_MARGIN_S = 0.5
@@ -18,6 +21,22 @@
 # timeout. The rest of the limit lets that host connect again after a restart.
 _MAX_IDLE_SHARE = 0.5
 _CONNECT_TIMEOUT_MS = 1_000.0  # A dropped SYN is sent again after 1 s.
+# A probe that ends this late was held up by this process.
+_MAX_PROBE_LAG_MS = 50.0
+# Other errors of connects are this host's own.
+_LINK_ERRORS = frozenset(
+    {
+        errno.ECONNREFUSED,
+        errno.ECONNRESET,
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EPIPE,
+        errno.ETIMEDOUT,
+    }
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -41,8 +60,10 @@
         address: str,
         max_connections: int,
         memory: _answerbounds.AnswerMemory,
+        link: _links.Link,
     ) -> None:
         self._clock = clock
+        self._link = link
         self.address = address
         self._memory = memory
         self.max_connections = max_connections
@@ -119,6 +140,33 @@
             return isinstance(error.__cause__, ConnectionRefusedError)
         return False
 
+    async def probe(self, timeout_ms: float) -> None:
+        """Finds out by a connect whether the server is reached.
+
+        The connection is kept for requests.
+        """
+        if self._open >= self.max_connections and self._idle:
+            self._discard(self._idle.pop(0)[1])
+        if self._open >= self.max_connections:
+            return
+        started_ms = self._clock.now_ms()
+        try:
+            async with asyncio.timeout(base.to_seconds(timeout_ms)):
+                self.release(await self._connect(may_be_cut=False))
+        except TimeoutError:
+            took_ms = self._clock.now_ms() - started_ms
+            if took_ms <= timeout_ms + _MAX_PROBE_LAG_MS:
+                self._link.record_failure(is_silent=True)
+        except _errors.UnsentError as error:
+            # The link tells of the failures that matter.
+            base.log_event(
+                _logger,
+                "probe-failed",
+                logging.DEBUG,
+                server=self.address,
+                error=error,
+            )
+
     def release(self, connection: _connections.ServerConnection) -> None:
         """Returns a connection to the pool, or closes it.
 
@@ -156,13 +204,20 @@
             self._discard(connection)
         return None
 
-    async def _connect(self) -> _connections.ServerConnection:
+    async def _connect(
+        self, may_be_cut: bool = True
+    ) -> _connections.ServerConnection:
         host, port = base.split_address(self.address)
         loop = asyncio.get_running_loop()
         started_ms = self._clock.now_ms()
         self._open += 1
+        timeout = asyncio.timeout(base.to_seconds(_CONNECT_TIMEOUT_MS))
+        wait = self._link.start_wait(
+            functools.partial(_expire, timeout) if may_be_cut else None,
+            is_connect=True,
+        )
         try:
-            async with asyncio.timeout(base.to_seconds(_CONNECT_TIMEOUT_MS)):
+            async with timeout:
                 _, connection = await loop.create_connection(
                     lambda: _connections.ServerConnection(
                         self.address, self._memory
@@ -173,16 +228,26 @@
         # TimeoutError is an OSError; the others are of unusable addresses.
         except (OSError, ValueError, OverflowError) as error:
             self._open -= 1
+            self._record_failure(error)
             raise _errors.UnsentError(
                 f"cannot connect: {error!r}", step="connect", peer=self.address
             ) from error
         except BaseException:
             self._open -= 1
             raise
+        finally:
+            self._link.end_wait(wait)
+        self._link.record_reach(started_ms)
         took_ms = self._clock.now_ms() - started_ms
         self.connect_ms = min(self.connect_ms, took_ms)
         return connection
 
+    def _record_failure(self, error: Exception) -> None:
+        if isinstance(error, TimeoutError):
+            self._link.record_failure(is_silent=True)
+        elif isinstance(error, OSError) and error.errno in _LINK_ERRORS:
+            self._link.record_failure(is_silent=False)
+
     async def _wait_for_release(self, timeout_ms: float) -> None:
         waiter: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
@@ -203,11 +268,17 @@
         self._open -= 1
 
 
+def _expire(timeout: asyncio.Timeout) -> None:
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
+
+
 def create_server_pool(
     clock: base.Clock,
     address: str,
     max_connections: int,
     memory: _answerbounds.AnswerMemory | None = None,
+    link: _links.Link | None = None,
 ) -> ServerPool:
     """Creates an empty pool for one server.
 
@@ -216,10 +287,12 @@
       address: The address of the server.
       max_connections: The maximum number of connections.
       memory: Counts the answers that the host receives; None for an own count.
+      link: Is told what becomes of connects; None if nobody is.
     """
     return ServerPool(
         clock,
         address,
         max_connections,
         memory or _answerbounds.create_answer_memory(),
+        link or _links.create_unregistered_link(clock, address),
     )
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -74,6 +74,13 @@
             default=0.0,
         )
 
+    def is_unresponsive(self, route: _resources.Route, service: str) -> bool:
+        """Whether all usable servers are ejected or not reached."""
+        return all(
+            view.is_ejected or view.link.is_unreached
+            for view in self.find_usable(route, service)
+        )
+
     def choose(
         self,
         route: _resources.Route,
@@ -91,7 +98,7 @@
         cold_rate = self._catalog.cold_rate(service)
         views = [
             view
-            for view in self.find_usable(route, service)
+            for view in _keep_reached(self.find_usable(route, service))
             if view not in excluded and view.may_send(cold_rate)
         ]
         found = [v for v in views if self._limiter.has_token(v, is_hedge)]
@@ -191,6 +198,13 @@
         return cost_ms + random.random() * _MAX_JITTER_MS
 
 
+def _keep_reached(
+    views: list[_servers.ServerView],
+) -> list[_servers.ServerView]:
+    """Returns the servers that this host reaches, all if it reaches none."""
+    return [view for view in views if not view.link.is_unreached] or views
+
+
 def create_server_selector(
     catalog: _catalogs.Catalog,
     clock: base.Clock,
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -105,6 +105,7 @@
                 peer=view.server.instance_id,
             )
         attempt_number = view.start_attempt()
+        wait = view.link.start_wait(connection.cut)
         try:
             on_sent()
             sent_ms = self._clock.now_ms()
@@ -113,6 +114,7 @@
                 self._protocol.encode(request, view.server, remaining_ms),
                 lambda raw: self._protocol.is_answer_to(request, raw),
             )
+            view.link.record_reach(sent_ms)
             connection.idle_timeout_s = self._protocol.idle_timeout_s(answer)
             self._record_statements(view, answer, sent_ms)
         except BaseException:
@@ -121,6 +123,7 @@
             connection.close()
             raise
         finally:
+            view.link.end_wait(wait)
             view.end_attempt(attempt_number)
             view.pool.release(connection)
         return self._protocol.decode(view.server, answer)
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -5,6 +5,7 @@
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
+from cowslipvalve_gateway import _links
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _ratelimits
 from cowslipvalve_gateway import _resources
@@ -28,10 +29,13 @@
         clock: base.Clock,
         server: _resources.Server,
         pool: _pools.ServerPool,
+        link: _links.Link,
     ) -> None:
         self._clock = clock
         self.server = server
         self.pool = pool
+        self.link = link
+        link.on_recovered = self._forget_failures
         # The limit that the server states in its answers.
         self.rate_limit = _ratelimits.create_rate_limit(
             clock, server.instance_id
@@ -85,6 +89,7 @@
         if server.sequence != self.server.sequence:
             self.is_misdirected = False
         self.server = server
+        self.link.server = server
 
     def start_attempt(self) -> int:
         """Counts an attempt as running; returns its number."""
@@ -142,12 +147,24 @@
         self._eject_ms = _MIN_EJECT_MS
 
     def record_failure(self) -> None:
-        """Updates the failure rate; ejects the server if the rate is high."""
+        """Updates the failure rate; ejects the server if the rate is high.
+
+        A server that this host does not reach is not blamed for it.
+        """
+        if self.link.is_unreached:
+            return
         self._update_averages(self.slowness, 1.0)
         if self._failure_rate >= _EJECT_FAILURE_RATE and not self.is_ejected:
             self._ejected_until_ms = self._clock.now_ms() + self._eject_ms
             self._eject_ms = min(_MAX_EJECT_MS, self._eject_ms * 2)
 
+    def _forget_failures(self) -> None:
+        """Discards what may have been the fault of the link."""
+        self._slowness = 1.0
+        self._failure_rate = 0.0
+        self._ejected_until_ms = 0.0
+        self._eject_ms = _MIN_EJECT_MS
+
     def _compute_decay(self) -> float:
         age_ms = self._clock.now_ms() - self._updated_ms
         return float(0.5 ** (age_ms / _HALF_LIFE_MS))
@@ -168,9 +185,11 @@
     server: _resources.Server,
     max_connections: int,
     memory: _answerbounds.AnswerMemory | None = None,
+    link: _links.Link | None = None,
 ) -> ServerView:
     """Creates the view of a newly registered server."""
+    link = link or _links.create_link(clock, server)
     pool = _pools.create_server_pool(
-        clock, server.address, max_connections, memory
+        clock, server.address, max_connections, memory, link
     )
-    return ServerView(clock, server, pool)
+    return ServerView(clock, server, pool, link)
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -1,10 +1,10 @@
 """A request to one service, with its attempts, retries and hedges."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _attemptlogs
 from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
@@ -25,8 +25,6 @@
 _COLD_RETRY_MS = 20.0
 _FIRST_SERVER_ERROR = 500
 
-_logger = logging.getLogger(__name__)
-
 
 class ServiceCall:
     """Obtains one answer from a service.
@@ -89,9 +87,8 @@
 
     @property
     def is_unresponsive(self) -> bool:
-        """Whether all usable servers are ejected for recent failures."""
-        views = self._context.selector.find_usable(self._route, self.service)
-        return all(view.is_ejected for view in views)
+        """Whether all usable servers are ejected or not reached."""
+        return self._context.selector.is_unresponsive(self._route, self.service)
 
     @property
     def wait_ms(self) -> float:
@@ -102,6 +99,12 @@
             self._context, self._route, self.service
         )
 
+    @property
+    def _is_cut_off(self) -> bool:
+        return _servicewaits.is_cut_off(
+            self._context, self._route, self.service
+        )
+
     def describe(self) -> str:
         """Returns service, tried servers, attempts and state for a log line."""
         state = self.reason.value if self.is_settled else "waiting"
@@ -110,7 +113,7 @@
 
     def start(self) -> None:
         """Starts the first attempt; settles the call if there is no server."""
-        if self._repeat is None:
+        if self._repeat is None and not self._is_cut_off:
             self._context.budget(self.service).add_request()
         self._start_or_wait()
 
@@ -118,7 +121,8 @@
         """Starts an attempt, or waits until a cold server may get it."""
         if self.is_settled or self._start_attempt():
             return
-        if self.reason is _calls.RefusalReason.QUARANTINED:
+        is_quarantined = self.reason is _calls.RefusalReason.QUARANTINED
+        if is_quarantined or self._is_cut_off:
             self._settle()
             return
         if not self._wait_for_cold_server():
@@ -151,6 +155,8 @@
         if self._context.crashes.blocks(self._request, self.service):
             self.reason = _calls.RefusalReason.QUARANTINED
             return False
+        if self._is_cut_off:
+            return False
         unsent = sum(1 for a in self._running if a.sent_ms is None)
         if self.attempts + unsent >= self._route.max_attempts:
             return False
@@ -321,7 +327,8 @@
     def _retry(self) -> bool:
         if self._start_attempt():
             return True
-        if self.reason is _calls.RefusalReason.QUARANTINED:
+        is_quarantined = self.reason is _calls.RefusalReason.QUARANTINED
+        if is_quarantined or self._is_cut_off:
             return False
         if self.attempts >= self._route.max_attempts or not self._tried:
             return False
@@ -384,17 +391,6 @@
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
-        budget = self._context.budget(self.service).compute_remaining(
-            self._context.catalog.count_sharers(self.service)
-        )
-        base.log_event(
-            _logger,
-            event,
-            request=self._request.request_id,
-            service=self.service,
-            server=view.server.instance_id,
-            slowness=f"{view.slowness:.2f}",
-            running=view.running,
-            budget=f"{budget:.1f}",
-            **fields,
+        _attemptlogs.log_attempt(
+            self._context, self._request, self.service, event, view, **fields
         )
--- a/packages/gateway/cowslipvalve_gateway/_servicewaits.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicewaits.py
@@ -1,4 +1,4 @@
-"""When the servers of a service take a request, if they take none now.
+"""Whether and when the servers of a service take a request.
 
 Answers the load of servers that have reached their rate limits, or have stated
 that they want no requests for a while: a request is refused at once, with the
@@ -9,6 +9,20 @@
 from cowslipvalve_gateway import _resources
 
 
+def is_cut_off(
+    context: _callcontexts.CallContext, route: _resources.Route, service: str
+) -> bool:
+    """Whether only another host may reach the servers of a service."""
+    links = context.links
+    if not links.is_stranded and not links.has_unreached:
+        return False
+    if all(name == context.own_name for name in context.catalog.hosts):
+        return False
+    return links.is_cut_off(
+        service, context.selector.find_usable(route, service)
+    )
+
+
 def is_exhausted(
     context: _callcontexts.CallContext, route: _resources.Route, service: str
 ) -> bool:
