Take no server for ended unless another one is reached

A refusal now counts as an end only if a connect or a request that began after the connection was lost has reached a server, at once or within 2 s; in the latter case the server is tried once more, as the links may just be back. Where no other server is registered, a refusal counts as before. An answer to an earlier request proves nothing: it may have been received before the cut.

With the former check, test_host_without_links_takes_no_server_for_ended, test_answer_to_an_earlier_request_proves_no_link and test_server_has_ended_if_another_is_reached_later fail (one end each, expected none).

test_server_that_was_to_end_is_no_evidence takes its servers from the links, so that their state stays the only reason for which they count as not ended.

A cut from only some servers that refuses is not told from servers that end: others are reached.

--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -24,6 +24,7 @@
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _quarantines
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _watcherchoices
 
@@ -38,6 +39,9 @@
 _MAX_REPORTED = 1_024
 _MAX_CHECKS = 64  # Each opens a connection.
 _MAX_SUSPECTS_PER_END = 64
+# If no server is reached in this time, it is not known which have ended.
+_MAX_DOUBT_MS = 2_000.0
+_DOUBT_CHECK_MS = 20.0
 
 _logger = logging.getLogger(__name__)
 
@@ -66,6 +70,7 @@
         quarantine: _quarantines.Quarantine,
         client: _crashreports.CrashReportClient,
         measurements: _measurements.Measurements,
+        links: _serverlinks.ServerLinks,
     ) -> None:
         self.quarantine = quarantine
         self._own = own
@@ -73,6 +78,7 @@
         self._clock = clock
         self._client = client
         self._measurements = measurements
+        self._links = links
         self._record = _crashrecords.create_crash_record(clock)
         # The suspects that this host has reported.
         self._reported: collections.OrderedDict[str, None] = (
@@ -160,7 +166,7 @@
         """Finds out whether a server has ended or only lost a connection."""
         try:
             await self._clock.sleep_ms(_CHECK_DELAY_MS)
-            is_refused = await check.view.pool.is_refused(_CHECK_TIMEOUT_MS)
+            is_ended = await self._is_ended(check)
         finally:
             del self._checks[check.view.server.instance_id]
         answered = self.quarantine.answered
@@ -169,16 +175,35 @@
             _logger,
             "connection-broken",
             server=check.view.server.instance_id,
-            ended=is_refused,
+            ended=is_ended,
             suspects=",".join(sorted(suspects)),
         )
-        if not is_refused or not suspects:
+        if not is_ended or not suspects:
             return
         self._measurements.count("servers_ended")
         check.suspects = suspects
         self._ends.append(check)
         self._schedule_report()
 
+    async def _is_ended(self, check: _Check) -> bool:
+        """Whether a server refuses connections while another one is reached.
+
+        To a host that has lost its links all servers seem to have ended.
+        """
+        view = check.view
+        is_proven = self._links.proven_ms > check.lost_ms
+        if not await view.pool.is_refused(_CHECK_TIMEOUT_MS):
+            return False
+        if is_proven or not self._links.has_others(view.link):
+            return True
+        refused_ms = self._clock.now_ms()
+        while self._links.proven_ms <= check.lost_ms:
+            if self._clock.now_ms() - refused_ms > _MAX_DOUBT_MS:
+                return False
+            await self._clock.sleep_ms(_DOUBT_CHECK_MS)
+        # The links may have been away until now.
+        return await view.pool.is_refused(_CHECK_TIMEOUT_MS)
+
     def _schedule_report(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
@@ -265,6 +290,7 @@
     quarantine: _quarantines.Quarantine,
     client: _crashreports.CrashReportClient,
     measurements: _measurements.Measurements,
+    links: _serverlinks.ServerLinks,
 ) -> CrashWatch:
     """Creates the watch of a host.
 
@@ -275,5 +301,8 @@
       quarantine: The requests that this host refuses.
       client: Reports to other hosts.
       measurements: Counts servers that end and quarantined requests.
+      links: Tells whether servers have ended or this host has lost its links.
     """
-    return CrashWatch(own, catalog, clock, quarantine, client, measurements)
+    return CrashWatch(
+        own, catalog, clock, quarantine, client, measurements, links
+    )
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -30,6 +30,7 @@
     async def asyncSetUp(self) -> None:
         self.clock = base.create_clock()
         self.measurements = gateway.create_measurements()
+        self.links = gateway.create_server_links(self.clock)
         client: gateway.CrashReportClient = _Client()  # type: ignore[assignment]
         self.watch = gateway.create_crash_watch(
             _OWN,
@@ -38,6 +39,7 @@
             gateway.create_quarantine(self.clock),
             client,
             self.measurements,
+            self.links,
         )
         self.listener = await asyncio.get_running_loop().create_server(
             asyncio.Protocol, "127.0.0.1", 0
@@ -60,7 +62,9 @@
             state=state,
             slots=2,
         )
-        return _servers.create_server_view(self.clock, server, 4)
+        return _servers.create_server_view(
+            self.clock, server, 4, memory=None, link=self.links.add(server)
+        )
 
     async def lose(self, view: _servers.ServerView) -> int:
         """Loses a connection; returns how many ends were found."""
@@ -78,6 +82,29 @@
         self.assertEqual(await self.lose(view), 0)
         view.pool.close()
 
+    async def test_host_without_links_takes_no_server_for_ended(self) -> None:
+        views = [self.create_view() for _ in range(3)]
+        self.listener.close()
+        for view in views:
+            self.assertEqual(await self.lose(view), 0)
+
+    async def test_server_has_ended_if_another_is_reached_later(self) -> None:
+        view, other = self.create_view(), self.create_view()
+        self.listener.close()
+        self.assertEqual(await self.lose(view), 0)
+        other.link.record_reach(self.clock.now_ms())
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
+
+    async def test_answer_to_an_earlier_request_proves_no_link(self) -> None:
+        view, other = self.create_view(), self.create_view()
+        self.listener.close()
+        sent_ms = self.clock.now_ms()
+        self.watch.record_loss(view, _REQUEST)
+        other.link.record_reach(sent_ms)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 0)
+
     async def test_server_that_was_to_end_is_no_evidence(self) -> None:
         draining = self.create_view(gateway.ServerState.DRAINING)
         leaving = self.create_view()
@@ -85,6 +112,8 @@
         removed = self.create_view()
         removed.pool.close()
         self.listener.close()
+        for view in (draining, leaving, removed):
+            self.links.remove(view.link)  # Else they are compared.
         for view in (draining, leaving, removed):
             self.assertEqual(await self.lose(view), 0)
 
