--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -13,6 +13,7 @@
 from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _servicewaits
 
 _logger = logging.getLogger(__name__)
 
@@ -39,7 +40,7 @@
     waits_ms: list[float] = []
     for service in route.shards:
         views = context.selector.find_usable(route, service)
-        if context.links.is_cut_off(service, views):
+        if _servicewaits.is_cut_off(context, route, service):
             if has_helper is None:
                 has_helper = bool(context.detours.find_helpers(route))
             if not has_helper:
@@ -81,7 +82,7 @@
     views: list[_servers.ServerView],
 ) -> float:
     """Returns for how many ms the servers of a shard take no request."""
-    if context.links.is_cut_off(service, views):
+    if _servicewaits.is_cut_off(context, route, service):
         return context.shard_waits.find_wait_ms(service)
     if context.limiter.is_exhausted(views):
         return context.limiter.compute_wait_ms(views)
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -15,7 +15,6 @@
 from cowslipvalve_gateway import _limitreaders
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _relayclients
-from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
 from cowslipvalve_gateway import _serverlinks
@@ -77,11 +76,6 @@
             if name in names or not budget.is_idle
         }
 
-    def is_cut_off(self, route: _resources.Route, service: str) -> bool:
-        """Whether requests to a service are to go through another host."""
-        usable = self.selector.find_usable(route, service)
-        return self.links.is_cut_off(service, usable)
-
     def budget(self, service: str) -> _budgets.AttemptBudget:
         """Returns the budget of a service, created on first use."""
         if service not in self._by_service:
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Collection
+from collections.abc import Mapping
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _callcontexts
@@ -12,6 +13,7 @@
 from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
 
 # If more shards are unresponsive, this host is probably at fault.
 _MAX_UNRESPONSIVE_SHARDS = 3
@@ -43,12 +45,13 @@
         deadline_ms: float,
     ) -> None:
         self._context = context
+        self._request = request
         self._route = route
         self._deadline_ms = deadline_ms
         cut_off = {
             shard: None
             for shard in route.shards
-            if context.is_cut_off(route, shard)
+            if _servicewaits.is_cut_off(context, route, shard)
         }
         planner = context.catalog.planner
         groups = planner.find_groups(route.shards) if planner else ()
@@ -62,19 +65,16 @@
             - _compute_margin_ms(route, bool(groups))
         )
         self._changed = asyncio.Event()
+        self._is_ended = False
         self._parts: list[_groupcalls.Parts] = []
         self._answered: set[str] = set()
         self._failed_count = 0
+        # The calls that settled without an answer, as their servers have come
+        # to be out of reach.
+        self._cut_off_calls: list[_servicecalls.ServiceCall] = []
         self._group_calls = [
-            _groupcalls.GroupCall(
-                context,
-                request,
-                route,
-                group,
-                self._target_ms,
-                deadline_ms,
-                self,
-                is_detour=any(s in cut_off for s in group.shards),
+            self._create_group_call(
+                group, is_detour=any(s in cut_off for s in group.shards)
             )
             for group in groups
         ]
@@ -171,7 +171,7 @@
 
     def _is_rest_unresponsive(self) -> bool:
         """Whether all unsettled shards have no responsive server."""
-        if self._group_calls:
+        if self._group_calls or self._cut_off_calls:
             return False
         unsettled = [call for call in self._calls if not call.is_settled]
         # Runs after each part, so the common case must be cheap.
@@ -194,10 +194,65 @@
             ),
         )
 
+    def _create_group_call(
+        self,
+        group: _groupplans.ShardGroup,
+        is_detour: bool,
+        asked: Mapping[str, str] | None = None,
+    ) -> _groupcalls.GroupCall:
+        return _groupcalls.GroupCall(
+            self._context,
+            self._request,
+            self._route,
+            group,
+            self._target_ms,
+            self._deadline_ms,
+            self,
+            is_detour=is_detour,
+            asked=asked,
+        )
+
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
-        _groupcalls.report_settled(call, self)
+        if not self._may_detour(call):
+            _groupcalls.report_settled(call, self)
+            return
+        if not self._cut_off_calls:
+            # Links that are lost end other calls in the same turn.
+            asyncio.get_running_loop().call_soon(self._start_detours)
+        self._cut_off_calls.append(call)
+
+    def _may_detour(self, call: _servicecalls.ServiceCall) -> bool:
+        if call.answer is not None:
+            return False
+        if call.attempts and not self._route.is_idempotent:
+            return False
+        return _servicewaits.is_cut_off(
+            self._context, self._route, call.service
+        )
+
+    def _start_detours(self) -> None:
+        """Asks the shards of calls that lost their servers through others."""
+        calls, self._cut_off_calls = self._cut_off_calls, []
+        if self._is_ended:
+            return
+        unsent = tuple(call.service for call in calls if not call.attempts)
+        asked = {
+            call.service: call.first_server for call in calls if call.attempts
+        }
+        started = [
+            self._create_group_call(group, is_detour=True)
+            for group in _create_detour_groups(unsent)
+        ]
+        started.extend(
+            self._create_group_call(group, is_detour=True, asked=asked)
+            for group in _create_detour_groups(tuple(asked))
+        )
+        for group_call in started:
+            group_call.start()
+        self._group_calls.extend(started)
 
     def _abandon_unsettled(self) -> None:
+        self._is_ended = True
         for call in self._calls:
             if not call.is_settled:
                 call.abandon()
@@ -205,6 +260,7 @@
             group_call.abandon()
 
     def _abandon_all(self) -> None:
+        self._is_ended = True
         for call in self._calls:
             call.abandon()
         for group_call in self._group_calls:
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Collection
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -19,6 +20,7 @@
 from cowslipvalve_gateway import _hostrefusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
 
 # Two intervals without a report; the interval allows for a busy host.
 _SILENCE_MS = 2 * _groupgathers.PROGRESS_INTERVAL_MS
@@ -85,6 +87,7 @@
         listener: PartsListener,
         is_detour: bool = False,
         excluded: frozenset[str] = frozenset(),
+        asked: Mapping[str, str] | None = None,
     ) -> None:
         """Creates a call that is not started.
 
@@ -99,6 +102,8 @@
           is_detour: Whether this host does not reach servers of the group.
             Helpers are then asked after the group's other hosts.
           excluded: The names of hosts that are not asked as helpers.
+          asked: The server that this host asked first, by shard, if it may
+            have the request.
         """
         self._context = context
         self._request = request
@@ -109,13 +114,13 @@
         self._listener = listener
         self._remaining = dict.fromkeys(group.shards)
         # The server that another host asked first, by shard.
-        self._asked: dict[str, str] = {}
+        self._asked = dict(asked or {})
         self._direct_calls: list[_servicecalls.ServiceCall] = []
         self._further_calls: list[GroupCall] = []
         self._task: asyncio.Task[None] | None = None
         self._is_detour = is_detour
         self._excluded = excluded
-        self._was_sent = False
+        self._was_sent = bool(asked)
 
     @property
     def was_sent(self) -> bool:
@@ -264,7 +269,11 @@
         # This host may know or reach servers that the other one does not.
         cut_off = self._ask_directly_if_reached(report.unknown, False)
         self._excluded |= {host.name}
-        self._ask_further(cut_off, len(self._excluded) <= _MAX_FURTHER_HELPERS)
+        may_ask = len(self._excluded) <= _MAX_FURTHER_HELPERS
+        self._ask_further(cut_off, may_ask)
+        if not may_ask:
+            for shard in cut_off:
+                self._context.links.record_detour(shard, False)
 
     def _record_detour(self, report: _groupmessages.GroupReport) -> None:
         for shard in report.answered:
@@ -286,7 +295,7 @@
         cut_off = [
             shard
             for shard in shards
-            if self._context.is_cut_off(self._route, shard)
+            if _servicewaits.is_cut_off(self._context, self._route, shard)
         ]
         self._ask_directly(
             tuple(shard for shard in shards if shard not in cut_off), is_repeat
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -11,6 +11,7 @@
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
 from cowslipvalve_gateway import _singleoutcomes
 
 # Parts that arrive within this time share a report, which saves messages.
@@ -180,7 +181,7 @@
     context: _callcontexts.CallContext, route: _resources.Route, service: str
 ) -> bool:
     if context.selector.find_usable(route, service):
-        return context.is_cut_off(route, service)
+        return _servicewaits.is_cut_off(context, route, service)
     return not context.selector.find_pause_ms(route, service)
 
 
--- a/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -78,10 +78,6 @@
                 _logger, "relay-malformed", logging.WARNING, error=error
             )
             return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
-        if self._context.is_cut_off(message.route, message.service):
-            return _hostrefusals.create_response(
-                _hostrefusals.HostRefusalReason.STRANDED
-            )
         return await self._respond(request, message, caller_request)
 
     def _subtract_lag(self, remaining_ms: float) -> float:
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -8,6 +8,7 @@
 from cowslipvalve_gateway import _relays
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
 from cowslipvalve_gateway import _singleoutcomes
 
 # How often a call checks whether the links to its servers have failed.
@@ -30,7 +31,7 @@
     call = _servicecalls.ServiceCall(
         context, request, route, service, deadline_ms, lambda _: settled.set()
     )
-    if not context.is_cut_off(route, service):
+    if not _servicewaits.is_cut_off(context, route, service):
         call.start()
         try:
             await _wait(context, route, call, settled, deadline_ms)
@@ -83,4 +84,4 @@
         return False
     if call.attempts and not route.is_idempotent:
         return False
-    return context.is_cut_off(route, call.service)
+    return _servicewaits.is_cut_off(context, route, call.service)
