--- a/packages/gateway/cowslipvalve_gateway/_detours.py
+++ b/packages/gateway/cowslipvalve_gateway/_detours.py
@@ -16,6 +16,7 @@
 _MAX_REFUSAL_MS = 8_000.0
 # A busy host has completed most of its requests after this time.
 _BUSY_MS = 200.0
+_MIN_LACKING = 3
 # Between regions.
 _FAR_ROUND_TRIP_MS = 80.0
 
@@ -44,7 +45,7 @@
         """Returns the hosts to ask one after the other, none if there are none.
 
         Near hosts come first. Each is of another domain than those before it
-        if possible, as a whole domain may be stranded.
+        and those asked already if possible, as a whole domain may be stranded.
 
         Args:
           route: The route of a request. Its body is sent only to hosts in the
@@ -58,15 +59,17 @@
         ]
         random.shuffle(candidates)
         candidates.sort(key=self._rank)
+        hosts = self._catalog.hosts
+        domains = {hosts[name].domain for name in excluded if name in hosts}
         chosen: list[_resources.HostRecord] = []
         while candidates and len(chosen) < _MAX_HELPERS:
-            domains = {host.domain for host in chosen}
             best = next(
                 (host for host in candidates if host.domain not in domains),
                 candidates[0],
             )
             candidates.remove(best)
             chosen.append(best)
+            domains.add(best.domain)
         return tuple(chosen)
 
     def is_refusing(self, host: str) -> bool:
@@ -87,6 +90,17 @@
         else:
             self._stranded.record_failure(host)
 
+    def record_lacking(self, host: str, count: int) -> None:
+        """Records how many services a host did not reach of those asked for.
+
+        Few of them may have no servers; with more, the host is probably cut
+        off itself.
+        """
+        if count >= _MIN_LACKING:
+            self._stranded.record_failure(host)
+        else:
+            self.record_success(host)
+
     def record_success(self, host: str) -> None:
         """Records that a host asked servers."""
         self._stranded.record_success(host)
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -119,6 +119,8 @@
         self._further_calls: list[GroupCall] = []
         self._task: asyncio.Task[None] | None = None
         self._is_detour = is_detour
+        # How many shards the last host did not reach.
+        self._lacking = 0
         self._excluded = excluded
         self._was_sent = bool(asked)
 
@@ -191,7 +193,8 @@
             self._log("group-failed", host, sent=self._was_sent, error=error)
             return False
         self._context.host_health.record_success(host.name)
-        self._context.detours.record_success(host.name)
+        if self._is_detour:
+            self._context.detours.record_lacking(host.name, self._lacking)
         return True
 
     def _list_asked(self) -> tuple[str, ...]:
@@ -201,6 +204,7 @@
         return tuple(self._asked.get(shard, "") for shard in self._remaining)
 
     async def _ask(self, host: _resources.HostRecord) -> None:
+        self._lacking = 0
         route = attrs.evolve(self._route, shards=tuple(self._remaining))
         message = _groupmessages.create_group_request(
             self._request,
@@ -251,7 +255,8 @@
         for shard in shards:
             del self._remaining[shard]
         if self._is_detour:
-            self._record_detour(report)
+            for shard in report.answered:
+                self._context.links.record_detour(shard, True)
         if report.answered:
             self._listener.add_parts(
                 Parts(
@@ -260,14 +265,16 @@
                     records=records,
                 )
             )
-        if report.failed:
-            self._listener.add_failed(report.failed)
-            for shard, wait_ms in zip(
-                report.failed, report.waits_ms, strict=False
-            ):
-                self._context.shard_waits.record(shard, wait_ms)
+        unreached = report.unreached if self._is_detour else ()
+        failed = tuple(s for s in report.failed if s not in unreached)
+        if failed:
+            self._listener.add_failed(failed)
+        for shard, wait_ms in zip(report.failed, report.waits_ms, strict=False):
+            self._context.shard_waits.record(shard, wait_ms)
         # This host may know or reach servers that the other one does not.
-        cut_off = self._ask_directly_if_reached(report.unknown, False)
+        lacking = (*report.unknown, *unreached)
+        self._lacking += len(lacking)
+        cut_off = self._ask_directly_if_reached(lacking, False)
         self._excluded |= {host.name}
         may_ask = len(self._excluded) <= _MAX_FURTHER_HELPERS
         self._ask_further(cut_off, may_ask)
@@ -275,12 +282,6 @@
             for shard in cut_off:
                 self._context.links.record_detour(shard, False)
 
-    def _record_detour(self, report: _groupmessages.GroupReport) -> None:
-        for shard in report.answered:
-            self._context.links.record_detour(shard, True)
-        for shard in report.unreached:
-            self._context.links.record_detour(shard, False)
-
     def _record_leaving(self, report: _groupmessages.GroupReport) -> None:
         """Leaves alone what the other host's answers say is leaving."""
         for leaving in report.leaving:
--- a/packages/gateway/cowslipvalve_gateway/_relays.py
+++ b/packages/gateway/cowslipvalve_gateway/_relays.py
@@ -85,6 +85,7 @@
         last = _refusals.create_refusal(
             _calls.RefusalReason.NO_SERVER, self._may_have_run
         )
+        is_unreached = False
         for host in self._context.detours.find_helpers(self._route):
             if self._may_have_run and not self._route.is_idempotent:
                 break
@@ -96,6 +97,9 @@
             last = self._merge_refusal(result.outcome)
             if not result.is_unreached:
                 return last
+            is_unreached = True
+        if is_unreached:
+            self._context.links.record_detour(self._service, False)
         if self._may_have_run:
             return _refusals.create_refusal(_calls.RefusalReason.LOST, True)
         return last
@@ -127,9 +131,8 @@
             self._may_have_run = may_have_run
         self._context.host_health.record_success(host.name)
         self._context.detours.record_success(host.name)
-        self._context.links.record_detour(
-            self._service, not result.is_unreached
-        )
+        if not result.is_unreached:
+            self._context.links.record_detour(self._service, True)
         return result
 
     def _record_unsent(
