Know of servers that serve open connections and take no new ones

If a cut spares open connections and refuses or swallows new ones, answers make a server count as reached, while requests that need a new connection, as those that must not be repeated do, fail at each server. The link now also knows whether the server took the last connection: is_cut_off says so for requests that must connect, such servers are not chosen for them while others take connections, and probes go on until the server takes one.

Until the first loss, a host that is set stranded stays so, as tests of what rests on it need.

Decision test: test_open_connections_that_outlive_a_cut_are_used. With must_connect as before (ignored) its second case would be False.

--- a/packages/gateway/cowslipvalve_gateway/_links.py
+++ b/packages/gateway/cowslipvalve_gateway/_links.py
@@ -13,8 +13,13 @@
 class LinkObserver(Protocol):
     """Is told what becomes of links."""
 
-    def handle_failure(self, link: "Link") -> None:
-        """Takes the link of a server that can no longer be reached."""
+    def handle_failure(self, link: "Link", is_new: bool) -> None:
+        """Takes the link of a server that can no longer be reached.
+
+        Args:
+          link: The link.
+          is_new: Whether the server had taken the connection before this one.
+        """
 
     def handle_reach(self, link: "Link", started_ms: float) -> None:
         """Takes the link of a server that was reached.
@@ -45,6 +50,8 @@
     Attributes:
       server: The newest registration of the server.
       is_unreached: Whether the server was not reached when last tried.
+      takes_connections: Whether the server accepted the last connection; open
+        ones may live on if it did not.
       is_silent: Whether the last failure was silence, rather than a refusal.
       failed_ms: When the server came to be unreached, -inf if it never was.
       reached_ms: When the server last answered or accepted a connection, -inf
@@ -66,6 +73,7 @@
         self._waits: dict[Wait, None] = {}
         self.server = server
         self.is_unreached = False
+        self.takes_connections = True
         self.is_silent = False
         self.failed_ms = -math.inf
         self.reached_ms = -math.inf
@@ -122,13 +130,15 @@
         """Records that a probe has ended."""
         self.is_probing = False
 
-    def record_reach(self, started_ms: float) -> None:
+    def record_reach(self, started_ms: float, is_connect: bool) -> None:
         """Records that the server answered or accepted a connection.
 
         Args:
           started_ms: When the connect or the request began.
+          is_connect: Whether it accepted a connection.
         """
         self.reached_ms = self._clock.now_ms()
+        self.takes_connections |= is_connect
         if self.is_unreached:
             self.is_unreached = False
             self.on_recovered()
@@ -137,24 +147,26 @@
 
     def record_loss(self, is_silent: bool) -> None:
         """Records that this host has lost its links to all servers."""
+        self.takes_connections = False
         if not self.is_unreached:
             self.is_unreached = True
             self.is_silent = is_silent
             self.failed_ms = self._clock.now_ms()
 
     def record_failure(self, is_silent: bool) -> None:
-        """Records that the server was not reached.
+        """Records that a connection to the server could not be opened.
 
         Args:
           is_silent: Whether nothing came back, rather than a refusal.
         """
+        is_new, self.takes_connections = self.takes_connections, False
         self.is_silent = is_silent
         if self.is_unreached:
             return
         self.is_unreached = True
         self.failed_ms = self._clock.now_ms()
         if self._observer is not None:
-            self._observer.handle_failure(self)
+            self._observer.handle_failure(self, is_new)
 
 
 def create_unregistered_link(clock: base.Clock, address: str) -> Link:
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -237,7 +237,7 @@
             raise
         finally:
             self._link.end_wait(wait)
-        self._link.record_reach(started_ms)
+        self._link.record_reach(started_ms, is_connect=True)
         took_ms = self._clock.now_ms() - started_ms
         self.connect_ms = min(self.connect_ms, took_ms)
         return connection
--- a/packages/gateway/cowslipvalve_gateway/_probechoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_probechoices.py
@@ -59,7 +59,7 @@
         yield _MAX_PROBES_IN_DOUBT, self._find_due(self._is_silent)
         yield _MAX_PROBES_IN_DOUBT, self._find_comparisons()
         yield _MAX_PROBES_AFTER_LOSS, self._find_due(self._is_left_of_loss)
-        yield _MAX_PROBES, self._find_round(lambda link: link.is_unreached)
+        yield _MAX_PROBES, self._find_round(_is_unreached)
 
     def _find_round(
         self, is_wanted: Callable[[_links.Link], bool]
@@ -120,7 +120,11 @@
         return sorted(found, key=lambda link: link.server.domain in failed)
 
     def _is_left_of_loss(self, link: _links.Link) -> bool:
-        return link.is_unreached and link.probed_ms <= self._links.restored_ms
+        return _is_unreached(link) and link.probed_ms <= self._links.restored_ms
+
+
+def _is_unreached(link: _links.Link) -> bool:
+    return link.is_unreached or not link.takes_connections
 
 
 def _take_domains_in_turn(
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -98,7 +98,7 @@
         cold_rate = self._catalog.cold_rate(service)
         views = [
             view
-            for view in _keep_reached(self.find_usable(route, service))
+            for view in _keep_reached(route, self.find_usable(route, service))
             if view not in excluded and view.may_send(cold_rate)
         ]
         found = [v for v in views if self._limiter.has_token(v, is_hedge)]
@@ -199,10 +199,15 @@
 
 
 def _keep_reached(
-    views: list[_servers.ServerView],
+    route: _resources.Route, views: list[_servers.ServerView]
 ) -> list[_servers.ServerView]:
     """Returns the servers that this host reaches, all if it reaches none."""
-    return [view for view in views if not view.link.is_unreached] or views
+    return [
+        view
+        for view in views
+        if not view.link.is_unreached
+        and (view.link.takes_connections or route.is_idempotent)
+    ] or views
 
 
 def create_server_selector(
--- a/packages/gateway/cowslipvalve_gateway/_serverclients.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverclients.py
@@ -114,7 +114,7 @@
                 self._protocol.encode(request, view.server, remaining_ms),
                 lambda raw: self._protocol.is_answer_to(request, raw),
             )
-            view.link.record_reach(sent_ms)
+            view.link.record_reach(sent_ms, is_connect=False)
             connection.idle_timeout_s = self._protocol.idle_timeout_s(answer)
             self._record_statements(view, answer, sent_ms)
         except BaseException:
--- a/packages/gateway/cowslipvalve_gateway/_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverlinks.py
@@ -55,7 +55,7 @@
     Attributes:
       is_stranded: Whether this host reaches no server at all.
       lost_count: How often it has come to reach none.
-      has_unreached: Whether a server may be unreached.
+      has_unreached: Whether a server may be unreached, or takes no connections.
       reached_ms: When any server was last reached, -inf before the first.
       proven_ms: When the last connect or request began that reached a server;
         this host's links worked after that.
@@ -70,8 +70,8 @@
             clock, _FIRST_DETOUR_PAUSE_MS, _MAX_DETOUR_PAUSE_MS
         )
         self._checked_ms = clock.now_ms()
-        # When all links were last lost.
-        self._lost_ms = -math.inf
+        # When all links were last lost, inf before that.
+        self._lost_ms = math.inf
         self._is_silent_loss = False
         self._hold_ms = 0.0
         # Whether another host reached servers during the last loss.
@@ -121,7 +121,12 @@
         """Removes the link to a server that is no longer registered."""
         self._links.pop(link, None)
 
-    def is_cut_off(self, service: str, views: Collection[LinkedServer]) -> bool:
+    def is_cut_off(
+        self,
+        service: str,
+        views: Collection[LinkedServer],
+        must_connect: bool = False,
+    ) -> bool:
         """Whether requests to a service are to go through another host.
 
         That is so if this host reaches none of the service's servers, and
@@ -130,12 +135,17 @@
         Args:
           service: The service.
           views: Its usable servers.
+          must_connect: Whether the requests need new connections.
         """
         if not views or self._detours.is_suspect(service):
             return False
         if self.is_stranded and self._clock.now_ms() < self._find_hold_end_ms():
             return True
-        return all(self.is_out_of_reach(view.link) for view in views)
+        return all(
+            self.is_out_of_reach(view.link)
+            or (must_connect and not view.link.takes_connections)
+            for view in views
+        )
 
     def is_out_of_reach(self, link: _links.Link) -> bool:
         """Whether a request over a link would be of no use."""
@@ -154,7 +164,10 @@
         now_ms = self._clock.now_ms()
         is_held_up = now_ms - self._checked_ms > _MAX_CHECK_GAP_MS
         self._checked_ms = now_ms
-        self.has_unreached = any(link.is_unreached for link in self._links)
+        self.has_unreached = any(
+            link.is_unreached or not link.takes_connections
+            for link in self._links
+        )
         if is_held_up:
             return
         for link in self.links:
@@ -166,12 +179,12 @@
         elif self.has_unreached:
             self._find_loss()
 
-    def handle_failure(self, link: _links.Link) -> None:
+    def handle_failure(self, link: _links.Link, is_new: bool) -> None:
         """Takes the link of a server that can no longer be reached."""
         if link not in self._links:
             return
         self.has_unreached = True
-        if self.is_stranded:
+        if self.is_stranded or not is_new:
             return
         base.log_event(
             _logger,
--- a/packages/gateway/cowslipvalve_gateway/_servicewaits.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicewaits.py
@@ -19,7 +19,9 @@
     if all(name == context.own_name for name in context.catalog.hosts):
         return False
     return links.is_cut_off(
-        service, context.selector.find_usable(route, service)
+        service,
+        context.selector.find_usable(route, service),
+        must_connect=not route.is_idempotent,
     )
 
 
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -92,7 +92,7 @@
         view, other = self.create_view(), self.create_view()
         self.listener.close()
         self.assertEqual(await self.lose(view), 0)
-        other.link.record_reach(self.clock.now_ms())
+        other.link.record_reach(self.clock.now_ms(), is_connect=True)
         await asyncio.sleep(0.1)
         self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
 
@@ -101,7 +101,7 @@
         self.listener.close()
         sent_ms = self.clock.now_ms()
         self.watch.record_loss(view, _REQUEST)
-        other.link.record_reach(sent_ms)
+        other.link.record_reach(sent_ms, is_connect=False)
         await asyncio.sleep(0.2)
         self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 0)
 
--- a/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
@@ -27,6 +27,7 @@
     Attributes:
       hanging: The servers that no packet reaches.
       refusing: The servers that refuse connections and reset open ones.
+      closed: The servers that refuse connections and serve open ones.
       paused: The servers that accept connections and don't answer.
       probes: The servers of all probes, with their times.
       cut: The services of requests that were ended early.
@@ -46,6 +47,7 @@
         ]
         self.hanging: set[_servers.ServerView] = set()
         self.refusing: set[_servers.ServerView] = set()
+        self.closed: set[_servers.ServerView] = set()
         self.paused: set[_servers.ServerView] = set()
         self.probes: list[tuple[float, _servers.ServerView]] = []
         self.cut: list[str] = []
@@ -149,7 +151,7 @@
             if view in self.hanging:
                 return
             view.link.end_wait(wait)
-            view.link.record_reach(wait.started_ms)
+            view.link.record_reach(wait.started_ms, is_connect=False)
 
         self._due.append((self.clock.now_ms() + 3 * _CONNECT_MS, answer))
 
@@ -160,10 +162,10 @@
 
         def end() -> None:
             link.end_probe()
-            if view in self.hanging or view in self.refusing:
+            if view in self.hanging | self.refusing | self.closed:
                 link.record_failure(is_silent=view in self.hanging)
             else:
-                link.record_reach(link.probed_ms)
+                link.record_reach(link.probed_ms, is_connect=True)
 
         took_ms = (
             _serverlinks.CONNECT_TIMEOUT_MS
@@ -297,7 +299,9 @@
             self.assertEqual(network.links.is_stranded, is_ready)
             if not is_ready:
                 for view in network.views:
-                    view.link.record_reach(network.clock.now_ms())
+                    view.link.record_reach(
+                        network.clock.now_ms(), is_connect=True
+                    )
 
 
 class PartialCutTest(unittest.TestCase):
@@ -314,6 +318,25 @@
         self.assertIn("shard-0", network.cut)
         self.assertNotIn("shard-2", network.cut)
 
+    def test_open_connections_that_outlive_a_cut_are_used(self) -> None:
+        network = _create_network()
+        network.closed.update(network.views_of(0))
+        for view in network.closed:
+            view.link.record_failure(is_silent=False)
+            view.link.record_reach(network.clock.now_ms(), is_connect=False)
+        network.play(5_000.0)
+        self.assertFalse(network.links.is_stranded)
+        for must_connect in (False, True):
+            self.assertEqual(
+                network.links.is_cut_off(
+                    "shard-0", network.views_of(0), must_connect
+                ),
+                must_connect,
+            )
+        network.closed.clear()
+        network.play(2 * _HEALING_MS)
+        self.assertTrue(all(v.link.takes_connections for v in network.views))
+
     def test_service_without_usable_server_is_not_cut_off(self) -> None:
         network = _create_network()
         network.hanging.update(network.views)
