--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -31,6 +31,8 @@
 from cowslipvalve_gateway._crashreports import create_crash_report_client
 from cowslipvalve_gateway._crashwatches import CrashWatch
 from cowslipvalve_gateway._crashwatches import create_crash_watch
+from cowslipvalve_gateway._detours import Detours
+from cowslipvalve_gateway._detours import create_detours
 from cowslipvalve_gateway._errorlogs import ErrorLog
 from cowslipvalve_gateway._errorlogs import create_error_log
 from cowslipvalve_gateway._errors import BrokenConnectionError
@@ -61,6 +63,9 @@
 from cowslipvalve_gateway._hostclients import StateHandler
 from cowslipvalve_gateway._hostclients import create_host_client
 from cowslipvalve_gateway._hostclients import create_state_handler
+from cowslipvalve_gateway._hostrefusals import HostRefusalReason
+from cowslipvalve_gateway._linkprobes import LinkProbing
+from cowslipvalve_gateway._linkprobes import create_link_probing
 from cowslipvalve_gateway._logs import VolumeFilter
 from cowslipvalve_gateway._logs import start_logs
 from cowslipvalve_gateway._looplags import LoopLag
@@ -102,6 +107,15 @@
 from cowslipvalve_gateway._ratelimits import NO_LIMIT
 from cowslipvalve_gateway._ratelimits import RateLimit
 from cowslipvalve_gateway._ratelimits import create_rate_limit
+from cowslipvalve_gateway._relayadmissions import RelayAdmission
+from cowslipvalve_gateway._relayadmissions import create_relay_admission
+from cowslipvalve_gateway._relayclients import RelayClient
+from cowslipvalve_gateway._relayclients import create_relay_client
+from cowslipvalve_gateway._relayhandlers import RelayHandler
+from cowslipvalve_gateway._relayhandlers import create_relay_handler
+from cowslipvalve_gateway._relaymessages import RELAY_PATH
+from cowslipvalve_gateway._relaymessages import RelayReport
+from cowslipvalve_gateway._relaymessages import RelayRequest
 from cowslipvalve_gateway._replicas import StateMessage
 from cowslipvalve_gateway._replicas import StateReplica
 from cowslipvalve_gateway._replicas import create_state_replica
@@ -119,6 +133,8 @@
 from cowslipvalve_gateway._serverclients import ServerProtocol
 from cowslipvalve_gateway._serverclients import ServerClient
 from cowslipvalve_gateway._serverclients import create_server_client
+from cowslipvalve_gateway._serverlinks import ServerLinks
+from cowslipvalve_gateway._serverlinks import create_server_links
 from cowslipvalve_gateway._callcontexts import CallContext
 from cowslipvalve_gateway._shardwaits import ShardWaits
 from cowslipvalve_gateway._shardwaits import create_shard_waits
@@ -156,6 +172,7 @@
     "CrashReportHandler",
     "CrashWatch",
     "Denial",
+    "Detours",
     "Exoneration",
     "GROUP_PATH",
     "ErrorLog",
@@ -170,6 +187,7 @@
     "HostClient",
     "HostHealth",
     "HostRecord",
+    "HostRefusalReason",
     "HostUnavailableError",
     "LimitHandler",
     "LimitList",
@@ -179,6 +197,7 @@
     "LimitReader",
     "LimitShare",
     "Limiter",
+    "LinkProbing",
     "LoopLag",
     "LostAnswerError",
     "Measurements",
@@ -198,6 +217,7 @@
     "QuarantineEntry",
     "QuarantineList",
     "RECORD_BYTES",
+    "RELAY_PATH",
     "REPORT_PATH",
     "RateLimit",
     "RateLimitedError",
@@ -205,11 +225,17 @@
     "Refusal",
     "RefusalReason",
     "RejectedError",
+    "RelayAdmission",
+    "RelayClient",
+    "RelayHandler",
+    "RelayReport",
+    "RelayRequest",
     "Route",
     "RoutingTable",
     "Server",
     "ServerAnswer",
     "ServerClient",
+    "ServerLinks",
     "ServerConnection",
     "ServerEnd",
     "ServerPool",
@@ -245,6 +271,7 @@
     "create_crash_report_handler",
     "create_crash_watch",
     "create_error_log",
+    "create_detours",
     "create_gateway",
     "create_group_client",
     "create_group_handler",
@@ -256,13 +283,18 @@
     "create_limit_news",
     "create_limit_reader",
     "create_limiter",
+    "create_link_probing",
     "create_loop_lag",
     "create_measurements",
     "create_notice_client",
     "create_permit_client",
     "create_quarantine",
     "create_rate_limit",
+    "create_relay_admission",
+    "create_relay_client",
+    "create_relay_handler",
     "create_server_client",
+    "create_server_links",
     "create_server_pool",
     "create_server_selector",
     "create_shard_waits",
--- a/packages/gateway/cowslipvalve_gateway/_callcontexts.py
+++ b/packages/gateway/cowslipvalve_gateway/_callcontexts.py
@@ -8,13 +8,16 @@
 from cowslipvalve_gateway import _budgets
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _crashwatches
+from cowslipvalve_gateway import _detours
 from cowslipvalve_gateway import _groupclients
 from cowslipvalve_gateway import _hosthealth
 from cowslipvalve_gateway import _limiters
 from cowslipvalve_gateway import _limitreaders
 from cowslipvalve_gateway import _measurements
+from cowslipvalve_gateway import _relayclients
 from cowslipvalve_gateway import _selectors
 from cowslipvalve_gateway import _serverclients
+from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _shardwaits
 
 
@@ -42,12 +45,18 @@
     own_name: str
     # Sends group requests to other hosts.
     groups: _groupclients.GroupClient
+    # Sends requests to other hosts, which relay them to servers.
+    relays: _relayclients.RelayClient
     # Which other hosts have failed recently.
     host_health: _hosthealth.HostHealth
     # Which shards other hosts may not ask for now.
     shard_waits: _shardwaits.ShardWaits
     # Notices requests under which servers end.
     crashes: _crashwatches.CrashWatch
+    # Which servers this host cannot reach.
+    links: _serverlinks.ServerLinks
+    # The hosts through which this host reaches the servers that it cannot.
+    detours: _detours.Detours
     # The budgets by service, created on first use.
     _by_service: dict[str, _budgets.AttemptBudget] = attrs.field(
         factory=dict, alias="by_service"
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -10,6 +10,7 @@
 from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _slackshares
 from cowslipvalve_gateway import _statementmemories
@@ -49,9 +50,11 @@
         regions: dict[str, str],
         planner: _groupplans.GroupPlanner | None,
         memory: _answerbounds.AnswerMemory,
+        links: _serverlinks.ServerLinks,
     ) -> None:
         self._clock = clock
         self._memory = memory
+        self._links = links
         self._regions = regions
         self.planner = planner
         self.table: _resources.RoutingTable | None = None
@@ -299,20 +302,6 @@
         is_settled = self._clock.now_ms() - self._hosts_ms >= HOSTS_SETTLED_MS
         return is_settled and self.planner.is_asker(service)
 
-    def min_connect_ms(self, domain: str) -> float:
-        """Returns the shortest connect time to any server of a domain, in ms.
-
-        It is infinite if no connection to the domain was opened yet.
-        """
-        return min(
-            (
-                view.pool.connect_ms
-                for view in self._views.values()
-                if view.server.domain == domain
-            ),
-            default=math.inf,
-        )
-
     @property
     def servers(self) -> Collection[_servers.ServerView]:
         """All registered servers."""
@@ -340,7 +329,11 @@
 
     def _add(self, server: _resources.Server) -> None:
         view = _servers.create_server_view(
-            self._clock, server, _MIN_CONNECTIONS, self._memory
+            self._clock,
+            server,
+            _MIN_CONNECTIONS,
+            self._memory,
+            self._links.add(server),
         )
         self._statements.restore(view)
         self._set_connection_limits(view)
@@ -361,6 +354,7 @@
         view = self._views.pop(instance_id)
         self._by_service[view.server.service].remove(view)
         view.pool.close()
+        self._links.remove(view.link)
         self._statements.keep(view)
         base.log_event(
             _logger, "server-removed", server=instance_id, reason=reason
@@ -384,6 +378,7 @@
     regions: dict[str, str],
     planner: _groupplans.GroupPlanner | None = None,
     limits: _answerbounds.AnswerLimits | None = None,
+    links: _serverlinks.ServerLinks | None = None,
 ) -> Catalog:
     """Creates an empty catalog.
 
@@ -393,6 +388,8 @@
       planner: Plans the groups of this host's domain; None if this host asks
         all shards itself.
       limits: The limits on servers' answers; None for the defaults.
+      links: Follows the links to the servers; None if nobody does.
     """
     memory = _answerbounds.create_answer_memory(limits)
-    return Catalog(clock, regions, planner, memory)
+    links = links or _serverlinks.create_server_links(clock)
+    return Catalog(clock, regions, planner, memory, links)
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -2,15 +2,18 @@
 
 import asyncio
 from collections.abc import Collection
+from collections.abc import Mapping
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupcalls
+from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
 
 # If more shards are unresponsive, this host is probably at fault.
 _MAX_UNRESPONSIVE_SHARDS = 3
@@ -18,6 +21,8 @@
 _RESPONSE_MARGIN_TARGET_SHARE = 0.08
 # The part of the target for queueing, merging and sending to the caller.
 _MIN_RESPONSE_MARGIN_MS = 20.0
+# Another host asks up to so many shards within the targets.
+_MAX_DETOUR_SHARDS = 40
 # The time to read the last reports of other hosts, all at once.
 _GROUP_MARGIN_MS = 6.0
 
@@ -26,9 +31,10 @@
     """Sends a request to all shards of a route and merges their answers.
 
     The shards of a large fan-out are asked by several hosts, in groups; those
-    of a small one by this host. Until shortly before the route's target time,
-    the fan-out waits for a part from every shard. From then on it returns as
-    soon as the parts reach the route's minimum coverage.
+    of a small one by this host. Shards whose servers this host does not reach
+    are asked by other hosts. Until shortly before the route's target time, the
+    fan-out waits for a part from every shard. From then on it returns as soon
+    as the parts reach the route's minimum coverage.
     """
 
     def __init__(
@@ -39,28 +45,36 @@
         deadline_ms: float,
     ) -> None:
         self._context = context
+        self._request = request
         self._route = route
         self._deadline_ms = deadline_ms
+        cut_off = {
+            shard: None
+            for shard in route.shards
+            if _servicewaits.is_cut_off(context, route, shard)
+        }
         planner = context.catalog.planner
         groups = planner.find_groups(route.shards) if planner else ()
+        direct = () if groups else route.shards
+        if cut_off and not groups:
+            direct = tuple(s for s in direct if s not in cut_off)
+            groups = _create_detour_groups(tuple(cut_off))
         self._target_ms = (
             request.received_ms
             + route.target_ms
             - _compute_margin_ms(route, bool(groups))
         )
         self._changed = asyncio.Event()
+        self._is_ended = False
         self._parts: list[_groupcalls.Parts] = []
         self._answered: set[str] = set()
         self._failed_count = 0
+        # The calls that settled without an answer, as their servers have come
+        # to be out of reach.
+        self._cut_off_calls: list[_servicecalls.ServiceCall] = []
         self._group_calls = [
-            _groupcalls.GroupCall(
-                context,
-                request,
-                route,
-                group,
-                self._target_ms,
-                deadline_ms,
-                self,
+            self._create_group_call(
+                group, is_detour=any(s in cut_off for s in group.shards)
             )
             for group in groups
         ]
@@ -73,7 +87,7 @@
                 deadline_ms,
                 self._record_settled,
             )
-            for service in (() if groups else route.shards)
+            for service in direct
         ]
 
     @property
@@ -157,7 +171,7 @@
 
     def _is_rest_unresponsive(self) -> bool:
         """Whether all unsettled shards have no responsive server."""
-        if self._group_calls:
+        if self._group_calls or self._cut_off_calls:
             return False
         unsettled = [call for call in self._calls if not call.is_settled]
         # Runs after each part, so the common case must be cheap.
@@ -180,10 +194,68 @@
             ),
         )
 
+    def _create_group_call(
+        self,
+        group: _groupplans.ShardGroup,
+        is_detour: bool,
+        asked: Mapping[str, str] | None = None,
+    ) -> _groupcalls.GroupCall:
+        return _groupcalls.GroupCall(
+            self._context,
+            self._request,
+            self._route,
+            group,
+            self._target_ms,
+            self._deadline_ms,
+            self,
+            is_detour=is_detour,
+            asked=asked,
+        )
+
     def _record_settled(self, call: _servicecalls.ServiceCall) -> None:
-        _groupcalls.report_settled(call, self)
+        if not self._may_detour(call):
+            _groupcalls.report_settled(call, self)
+            return
+        if not call.attempts:
+            # The host that sends the request counts it.
+            self._context.budget(call.service).withdraw_request()
+        if not self._cut_off_calls:
+            # Links that are lost end other calls in the same turn.
+            asyncio.get_running_loop().call_soon(self._start_detours)
+        self._cut_off_calls.append(call)
+
+    def _may_detour(self, call: _servicecalls.ServiceCall) -> bool:
+        if call.answer is not None:
+            return False
+        if call.attempts and not self._route.is_idempotent:
+            return False
+        return _servicewaits.is_cut_off(
+            self._context, self._route, call.service
+        )
+
+    def _start_detours(self) -> None:
+        """Asks the shards of calls that lost their servers through others."""
+        calls, self._cut_off_calls = self._cut_off_calls, []
+        if self._is_ended:
+            return
+        unsent = tuple(call.service for call in calls if not call.attempts)
+        asked = {
+            call.service: call.first_server for call in calls if call.attempts
+        }
+        started = [
+            self._create_group_call(group, is_detour=True)
+            for group in _create_detour_groups(unsent)
+        ]
+        started.extend(
+            self._create_group_call(group, is_detour=True, asked=asked)
+            for group in _create_detour_groups(tuple(asked))
+        )
+        for group_call in started:
+            group_call.start()
+        self._group_calls.extend(started)
 
     def _abandon_unsettled(self) -> None:
+        self._is_ended = True
         for call in self._calls:
             if not call.is_settled:
                 call.abandon()
@@ -191,12 +263,24 @@
             group_call.abandon()
 
     def _abandon_all(self) -> None:
+        self._is_ended = True
         for call in self._calls:
             call.abandon()
         for group_call in self._group_calls:
             group_call.abandon()
 
 
+def _create_detour_groups(
+    shards: tuple[str, ...],
+) -> tuple[_groupplans.ShardGroup, ...]:
+    return tuple(
+        _groupplans.ShardGroup(
+            shards=shards[start : start + _MAX_DETOUR_SHARDS], hosts=()
+        )
+        for start in range(0, len(shards), _MAX_DETOUR_SHARDS)
+    )
+
+
 def _compute_margin_ms(route: _resources.Route, is_grouped: bool) -> float:
     """Returns how long before the target the last parts must be in."""
     margin_ms = max(
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -11,6 +11,8 @@
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
+from cowslipvalve_gateway import _servicewaits
+from cowslipvalve_gateway import _singleoutcomes
 
 # Parts that arrive within this time share a report, which saves messages.
 _REPORT_DELAY_MS = 12.0
@@ -39,11 +41,11 @@
         # The shards that failed, with the time until their servers' rate
         # limits allow a request.
         self._failed: dict[str, float] = {}
+        self._unreached: list[str] = []
         self._unknown = [
             service
             for service in message.route.shards
-            if not context.selector.find_usable(message.route, service)
-            and not context.selector.find_pause_ms(message.route, service)
+            if _is_out_of_reach(context, message.route, service)
         ]
         repeats = {
             service: _attempts.Repeat(server=server)
@@ -145,6 +147,7 @@
             records=base64.b64encode(records).decode(),
             failed=tuple(self._failed),
             waits_ms=tuple(self._failed.values()),
+            unreached=tuple(self._unreached),
             unknown=tuple(self._unknown),
             leaving=tuple(
                 _groupmessages.LeavingServer(
@@ -155,6 +158,7 @@
             ),
         )
         self._answered, self._failed, self._unknown = [], {}, []
+        self._unreached = []
         return report
 
     def _find_leaving(self, service: str) -> list[_resources.Server]:
@@ -168,9 +172,19 @@
             self._answered.append(call)
         else:
             self._failed[call.service] = call.wait_ms
+            if _singleoutcomes.is_unreached(call):
+                self._unreached.append(call.service)
         self._changed.set()
 
 
+def _is_out_of_reach(
+    context: _callcontexts.CallContext, route: _resources.Route, service: str
+) -> bool:
+    if context.selector.find_usable(route, service):
+        return _servicewaits.is_cut_off(context, route, service)
+    return not context.selector.find_pause_ms(route, service)
+
+
 def create_group_gather(
     context: _callcontexts.CallContext, message: _groupmessages.GroupRequest
 ) -> GroupGather:
--- a/packages/gateway/cowslipvalve_gateway/_groupmessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupmessages.py
@@ -6,6 +6,7 @@
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _requestmessages
 from cowslipvalve_gateway import _resources
 
 GROUP_PATH = "/group"
@@ -38,6 +39,8 @@
     # Empty unless another host may have sent the request to servers; else the
     # server that it asked first for each shard, empty if that is unknown.
     asked: tuple[str, ...] = ()
+    # Whether the other host asks because it does not reach these servers.
+    is_detour: bool = False
 
     @property
     def is_repeat(self) -> bool:
@@ -50,7 +53,7 @@
         Raises:
           InputError: The body is not base64.
         """
-        body = _decode_base64(self.body, "read-group-request")
+        body = _requestmessages.decode_base64(self.body, "read-group-request")
         return _calls.CallerRequest(
             request_id=self.request_id,
             method=self.method,
@@ -90,7 +93,9 @@
     # For each of them, for how many ms the rate limits of its servers are used
     # up; 0 if it failed for another reason.
     waits_ms: tuple[float, ...] = ()
-    # The shards of which the host knows no server; nothing was sent.
+    # Those of the failed shards none of whose servers was reached.
+    unreached: tuple[str, ...] = ()
+    # The shards of which the host knows or reaches no server; nothing was sent.
     unknown: tuple[str, ...] = ()
     # The servers of the answered shards that leave.
     leaving: tuple[LeavingServer, ...] = ()
@@ -106,14 +111,7 @@
                 f"{len(self.proofs)} proofs for {len(self.answered)} parts",
                 step="read-group-report",
             )
-        return _decode_base64(self.records, "read-group-report")
-
-
-def _decode_base64(text: str, step: str) -> bytes:
-    try:
-        return base64.b64decode(text, validate=True)
-    except ValueError as error:  # Not ASCII, or not base64.
-        raise base.InputError(f"not base64: {error}", step=step) from error
+        return _requestmessages.decode_base64(self.records, "read-group-report")
 
 
 def create_group_request(
@@ -124,6 +122,7 @@
     target_at_ms: float,
     deadline_ms: float,
     asked: tuple[str, ...],
+    is_detour: bool,
 ) -> GroupRequest:
     """Creates the message for a group; the route's shards are the group's."""
     return GroupRequest(
@@ -139,4 +138,5 @@
         remaining_ms=deadline_ms - now_ms,
         target_remaining_ms=target_at_ms - now_ms,
         asked=asked,
+        is_detour=is_detour,
     )
--- a/packages/gateway/cowslipvalve_gateway/_selectors.py
+++ b/packages/gateway/cowslipvalve_gateway/_selectors.py
@@ -74,6 +74,13 @@
             default=0.0,
         )
 
+    def is_unresponsive(self, route: _resources.Route, service: str) -> bool:
+        """Whether all usable servers are ejected or not reached."""
+        return all(
+            view.is_ejected or view.link.is_unreached
+            for view in self.find_usable(route, service)
+        )
+
     def choose(
         self,
         route: _resources.Route,
@@ -91,7 +98,7 @@
         cold_rate = self._catalog.cold_rate(service)
         views = [
             view
-            for view in self.find_usable(route, service)
+            for view in _keep_reached(route, self.find_usable(route, service))
             if view not in excluded and view.may_send(cold_rate)
         ]
         found = [v for v in views if self._limiter.has_token(v, is_hedge)]
@@ -123,7 +130,7 @@
         """Returns the latencies of a route in a server's failure domain."""
         key = (route.name, view.server.domain)
         if key not in self._latencies:
-            connect_ms = self._catalog.min_connect_ms(view.server.domain)
+            connect_ms = self._find_connect_ms(view.server.domain)
             default_ms = (
                 connect_ms + _DEFAULT_WORK_MS
                 if math.isfinite(connect_ms)
@@ -132,6 +139,20 @@
             self._latencies[key] = _latencies.RecentLatencies(default_ms)
         return self._latencies[key]
 
+    def _find_connect_ms(self, domain: str) -> float:
+        """Returns the shortest connect time to any server of a domain, in ms.
+
+        It is infinite if no connection to the domain was opened yet.
+        """
+        return min(
+            (
+                view.pool.connect_ms
+                for view in self._catalog.servers
+                if view.server.domain == domain
+            ),
+            default=math.inf,
+        )
+
     def record_answer(
         self,
         route: _resources.Route,
@@ -191,6 +212,18 @@
         return cost_ms + random.random() * _MAX_JITTER_MS
 
 
+def _keep_reached(
+    route: _resources.Route, views: list[_servers.ServerView]
+) -> list[_servers.ServerView]:
+    """Returns the servers that this host reaches, all if it reaches none."""
+    return [
+        view
+        for view in views
+        if not view.link.is_unreached
+        and (view.link.takes_connections or route.is_idempotent)
+    ] or views
+
+
 def create_server_selector(
     catalog: _catalogs.Catalog,
     clock: base.Clock,
--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -176,6 +176,9 @@
             host_health=mock.Mock(),
             shard_waits=mock.Mock(),
             crashes=mock.Mock(),
+            links=mock.Mock(),
+            detours=mock.Mock(),
+            relays=mock.Mock(),
         )
         host = _Host(
             record=record,
