--- a/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
@@ -1,189 +1,21 @@
 """Tests of what counts as lost links, on a manual clock."""
 
-import functools
 import unittest
 from collections.abc import Callable, Iterable
 
 import cowslipvalve_gateway as gateway
-from cowslipvalve_gateway import _links
-from cowslipvalve_gateway import _probechoices
 from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
-from cowslipvalve_standins import _clocks
+from cowslipvalve_gateway.tests import linknetworks
 
-_DOMAINS = ("kuopio", "rovaniemi", "vaasa")
-_SERVICES = 20
+_DOMAINS = linknetworks.DOMAINS
+_SERVICES = linknetworks.SERVICES
 _TICK_MS = _serverlinks.CHECK_PERIOD_MS
-_CONNECT_MS = 5.0
-_REQUEST_PERIOD_MS = 200.0
 _DETECTION_MS = 1_000.0
 _REFUSED_DETECTION_MS = 150.0
 _HEALING_MS = 1_000.0
 
 
-class _Network:
-    """Servers on a manual clock, each with requests of this host.
-
-    Attributes:
-      hanging: The servers that no packet reaches.
-      refusing: The servers that refuse connections and reset open ones.
-      closed: The servers that refuse connections and serve open ones.
-      paused: The servers that accept connections and don't answer.
-      probes: The servers of all probes, with their times.
-      cut: The services of requests that were ended early.
-    """
-
-    def __init__(self, domains: Iterable[str], services: int) -> None:
-        self.clock = _clocks.create_manual_clock()
-        self.links = gateway.create_server_links(self.clock)
-        self.choice = _probechoices.create_probe_choice(self.links, self.clock)
-        domains = tuple(domains)
-        self.views = [
-            self.create_view(
-                service, domains[(service + replica) % len(domains)]
-            )
-            for service in range(services)
-            for replica in range(2)
-        ]
-        self.hanging: set[_servers.ServerView] = set()
-        self.refusing: set[_servers.ServerView] = set()
-        self.closed: set[_servers.ServerView] = set()
-        self.paused: set[_servers.ServerView] = set()
-        self.probes: list[tuple[float, _servers.ServerView]] = []
-        self.cut: list[str] = []
-        # What is due, in no order.
-        self._due: list[tuple[float, Callable[[], None]]] = []
-
-    def create_view(self, service: int, domain: str) -> _servers.ServerView:
-        """Registers a server of a service."""
-        server = gateway.Server(
-            instance_id=f"{service}-{domain}",
-            service=f"shard-{service}",
-            address="127.0.0.1:1",
-            domain=domain,
-            state=gateway.ServerState.READY,
-            slots=2,
-        )
-        link = self.links.add(server)
-        return _servers.create_server_view(
-            self.clock, server, 3, memory=None, link=link
-        )
-
-    def views_of(self, service: int) -> list[_servers.ServerView]:
-        """Returns the servers of a service."""
-        return [v for v in self.views if v.server.service == f"shard-{service}"]
-
-    def views_in(self, *domains: str) -> set[_servers.ServerView]:
-        """Returns the servers of failure domains."""
-        return {v for v in self.views if v.server.domain in domains}
-
-    def is_stranded(self) -> bool:
-        """Whether this host reaches no server."""
-        return self.links.is_stranded
-
-    def is_cut_off(self, service: int = 0) -> bool:
-        """Whether requests to a service go through another host."""
-        return self.links.is_cut_off(f"shard-{service}", self.views_of(service))
-
-    def play(
-        self,
-        duration_ms: float,
-        is_idle: bool = False,
-        is_done: Callable[[], bool] = lambda: False,
-    ) -> float:
-        """Plays a time with a fan-out every 200 ms; returns how long it took.
-
-        Args:
-          duration_ms: The time to play.
-          is_idle: Whether only one service is asked, each second.
-          is_done: Ends the play as soon as it is true.
-        """
-        start_ms = self.clock.now_ms()
-        next_request_ms = start_ms
-        while self.clock.now_ms() - start_ms < duration_ms and not is_done():
-            now_ms = self.clock.now_ms()
-            if now_ms >= next_request_ms:
-                next_request_ms += 1_000.0 if is_idle else _REQUEST_PERIOD_MS
-                for service in range(1 if is_idle else _SERVICES):
-                    self.request(service)
-            self.links.check()
-            for link in self.choice.start_probes(lambda _: True):
-                self.probe(link)
-            end_ms = now_ms + _TICK_MS
-            while self.clock.now_ms() < end_ms:
-                self.clock.advance(_CONNECT_MS)
-                self.run_due()
-        return self.clock.now_ms() - start_ms
-
-    def run_due(self) -> None:
-        """Runs what is due now."""
-        now_ms = self.clock.now_ms()
-        due = [step for at_ms, step in self._due if at_ms <= now_ms]
-        self._due = [item for item in self._due if item[0] > now_ms]
-        for step in due:
-            step()
-
-    def request(self, service: int, attempts: int = 2) -> None:
-        """Sends a request to the first server that counts as reached."""
-        views = self.views_of(service)
-        if not views or self.links.is_cut_off(f"shard-{service}", views):
-            return
-        views.sort(key=lambda view: view.link.is_unreached)
-        view = views[0]
-        if view in self.refusing:
-            view.link.record_failure(is_silent=False)
-            if attempts > 1:
-                retry = functools.partial(self.request, service, attempts - 1)
-                self._due.append((self.clock.now_ms() + _CONNECT_MS, retry))
-            return
-        wait = view.link.start_wait(
-            lambda: self.cut.append(view.server.service)
-        )
-        if view not in self.hanging and view not in self.paused:
-            self.schedule_answer(view, wait)
-
-    def schedule_answer(
-        self, view: _servers.ServerView, wait: _links.Wait
-    ) -> None:
-        """Has a server answer soon, if it is reached then."""
-
-        def answer() -> None:
-            if view in self.hanging:
-                return
-            view.link.end_wait(wait)
-            view.link.record_reach(wait.started_ms, is_connect=False)
-
-        self._due.append((self.clock.now_ms() + 3 * _CONNECT_MS, answer))
-
-    def probe(self, link: _links.Link) -> None:
-        """Has a probe end as the network makes it."""
-        view = next(v for v in self.views if v.link is link)
-        self.probes.append((self.clock.now_ms(), view))
-
-        def end() -> None:
-            link.end_probe()
-            if view in self.hanging | self.refusing | self.closed:
-                link.record_failure(is_silent=view in self.hanging)
-            else:
-                link.record_reach(link.probed_ms, is_connect=True)
-
-        took_ms = (
-            _serverlinks.CONNECT_TIMEOUT_MS
-            if view in self.hanging
-            else _CONNECT_MS
-        )
-        self._due.append((self.clock.now_ms() + took_ms, end))
-
-
-def _create_network(
-    domains: Iterable[str] = _DOMAINS, services: int = _SERVICES
-) -> _Network:
-    network = _Network(domains, services)
-    network.play(2_000.0)
-    assert not network.links.is_stranded
-    return network
-
-
 class LossTest(unittest.TestCase):
     """When a host counts as stranded."""
 
@@ -202,7 +34,7 @@
             with self.subTest(
                 domains=domains, is_refused=is_refused, is_idle=is_idle
             ):
-                network = _create_network(domains)
+                network = linknetworks.create_network(domains)
                 failed = network.refusing if is_refused else network.hanging
                 failed.update(network.views)
                 took_ms = network.play(
@@ -216,7 +48,7 @@
                 self.assertEqual(network.links.lost_count, 1)
 
     def test_fewer_servers_than_the_usual_minimum(self) -> None:
-        network = _Network(_DOMAINS[:2], 1)
+        network = linknetworks.LinkNetwork(_DOMAINS[:2], 1)
         network.play(1_000.0, is_idle=True)
         network.hanging.update(network.views)
         network.play(2_000.0, is_idle=True)
@@ -225,7 +57,11 @@
     def test_failures_of_servers_are_no_loss_of_links(self) -> None:
         # Each case: what fails, and which servers.
         cases: tuple[
-            tuple[str, Callable[[_Network], set[_servers.ServerView]]], ...
+            tuple[
+                str,
+                Callable[[linknetworks.LinkNetwork], set[_servers.ServerView]],
+            ],
+            ...,
         ] = (
             ("hanging", lambda n: n.views_in("kuopio")),
             ("refusing", lambda n: n.views_in("kuopio")),
@@ -240,14 +76,14 @@
         for kind, choose in cases:
             for is_idle in (False, True):
                 with self.subTest(kind=kind, is_idle=is_idle):
-                    network = _create_network()
+                    network = linknetworks.create_network()
                     getattr(network, kind).update(choose(network))
                     network.play(8_000.0, is_idle=is_idle)
                     self.assertEqual(network.links.lost_count, 0)
                     self.assertFalse(network.links.is_doubtful)
 
     def test_restart_of_all_servers_of_a_service(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         for _ in range(3):
             network.refusing.update(network.views_of(0))
             network.play(2_000.0)
@@ -259,7 +95,7 @@
         self.assertEqual(network.links.lost_count, 0)
 
     def test_usual_pause_ends_no_request(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.paused.update(network.views)
         network.play(300.0)
         network.paused.clear()
@@ -268,7 +104,7 @@
         self.assertEqual(network.links.count_unreached(), 0)
 
     def test_process_that_was_held_up_takes_no_connect_for_slow(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         for view in network.views:
             view.link.start_wait(None, is_connect=True)
         network.clock.advance(2_000.0)
@@ -276,7 +112,7 @@
         self.assertEqual(network.links.count_unreached(), 0)
 
     def test_server_that_is_to_end_is_no_evidence(self) -> None:
-        network = _create_network(services=1)
+        network = linknetworks.create_network(services=1)
         for state in (
             gateway.ServerState.DRAINING,
             gateway.ServerState.READY,
@@ -308,7 +144,7 @@
     """What counts as cut off while other servers are reached."""
 
     def test_only_services_without_reached_server_are_cut_off(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.hanging.update(network.views_of(0))
         network.hanging.update(network.views_of(1)[:1])
         network.play(2_500.0)
@@ -319,7 +155,7 @@
         self.assertNotIn("shard-2", network.cut)
 
     def test_open_connections_that_outlive_a_cut_are_used(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.closed.update(network.views_of(0))
         for view in network.closed:
             view.link.record_failure(is_silent=False)
@@ -338,13 +174,13 @@
         self.assertTrue(all(v.link.takes_connections for v in network.views))
 
     def test_service_without_usable_server_is_not_cut_off(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.hanging.update(network.views)
         network.play(2_000.0)
         self.assertFalse(network.links.is_cut_off("shard-0", []))
 
     def test_failed_detours_are_rarer_and_rarer(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.refusing.update(network.views_of(0))
         detours = 0
         for _ in range(200):
@@ -364,7 +200,7 @@
     def test_all_links_are_back_soon(self) -> None:
         for is_refused in (False, True):
             with self.subTest(is_refused=is_refused):
-                network = _create_network()
+                network = linknetworks.create_network()
                 failed = network.refusing if is_refused else network.hanging
                 failed.update(network.views)
                 network.play(12_000.0)
@@ -376,7 +212,7 @@
                 self.assertFalse(any(v.is_ejected for v in network.views))
 
     def test_one_domain_that_is_back_is_used(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.hanging.update(network.views)
         network.play(5_000.0)
         network.hanging -= network.views_in("vaasa")
@@ -391,7 +227,7 @@
     def test_failures_while_stranded_are_not_held_against_servers(
         self,
     ) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         view = network.views[0]
         for _ in range(10):
             view.record_failure()
@@ -403,7 +239,7 @@
         self.assertFalse(view.is_ejected)
 
     def test_links_that_come_and_go_are_trusted_later_and_later(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         holds = []
         for _ in range(8):
             network.hanging.update(network.views)
@@ -433,14 +269,20 @@
     def test_probes_are_bounded(self) -> None:
         # Each case: which servers hang, and the most probes in ten seconds.
         cases: tuple[
-            tuple[Callable[[_Network], Iterable[_servers.ServerView]], int], ...
+            tuple[
+                Callable[
+                    [linknetworks.LinkNetwork], Iterable[_servers.ServerView]
+                ],
+                int,
+            ],
+            ...,
         ] = (
             (lambda n: (), 0),
             (lambda n: n.views_of(0), 40),
             (lambda n: n.views, 180),
         )
         for choose, most in cases:
-            network = _create_network()
+            network = linknetworks.create_network()
             network.probes.clear()
             network.hanging.update(choose(network))
             network.play(10_000.0)
@@ -453,7 +295,7 @@
                     last_ms[view] = at_ms
 
     def test_slow_request_costs_one_probe(self) -> None:
-        network = _create_network()
+        network = linknetworks.create_network()
         network.views[0].link.start_wait(None)
         network.probes.clear()
         network.play(5_000.0)
