Look only at links that something waits on

Each check, 20 times a second, went through all servers several times. The 17 tests of test_serverlinks.py and all of the gateway's (102) pass.

--- a/packages/gateway/cowslipvalve_gateway/_links.py
+++ b/packages/gateway/cowslipvalve_gateway/_links.py
@@ -13,6 +13,9 @@
 class LinkObserver(Protocol):
     """Is told what becomes of links."""
 
+    def handle_wait(self, link: "Link") -> None:
+        """Takes a link that something begins to wait on."""
+
     def handle_failure(self, link: "Link", is_new: bool) -> None:
         """Takes the link of a server that can no longer be reached.
 
@@ -105,6 +108,8 @@
             started_ms=self._clock.now_ms(), end=end, is_connect=is_connect
         )
         self._waits[wait] = None
+        if self._observer is not None:
+            self._observer.handle_wait(self)
         return wait
 
     def end_wait(self, wait: Wait) -> None:
--- a/packages/gateway/cowslipvalve_gateway/_probechoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_probechoices.py
@@ -39,10 +39,12 @@
         Args:
           may_probe: Whether a connection to a link's server may be opened.
         """
-        running = sum(link.is_probing for link in self._links.links)
         chosen: list[_links.Link] = []
         for limit, found in self._find_candidates():
-            room = max(0, limit - running - len(chosen))
+            if not found:
+                continue
+            running = sum(link.is_probing for link in self._links.links)
+            room = max(0, limit - running)
             allowed = (link for link in found if may_probe(link))
             for link in itertools.islice(allowed, room):
                 link.start_probe()
@@ -51,12 +53,15 @@
 
     def _find_candidates(
         self,
-    ) -> Iterator[tuple[int, Iterable[_links.Link]]]:
+    ) -> Iterator[tuple[int, list[_links.Link]]]:
         """Yields the links worth a probe, with the limit on probes."""
         if self._links.is_stranded:
             yield _MAX_PROBES, self._find_round(self._links.is_out_of_reach)
             return
-        yield _MAX_PROBES_IN_DOUBT, self._find_due(self._is_silent)
+        silent = self._find_due(self._is_silent, self._links.waiting)
+        yield _MAX_PROBES_IN_DOUBT, silent
+        if not self._links.has_unreached:
+            return
         yield _MAX_PROBES_IN_DOUBT, self._find_comparisons()
         yield _MAX_PROBES_AFTER_LOSS, self._find_due(self._is_left_of_loss)
         yield _MAX_PROBES, self._find_round(_is_unreached)
@@ -73,13 +78,15 @@
         return found
 
     def _find_due(
-        self, is_wanted: Callable[[_links.Link], bool]
+        self,
+        is_wanted: Callable[[_links.Link], bool],
+        links: Iterable[_links.Link] | None = None,
     ) -> list[_links.Link]:
         """Returns links, least recently probed first, domains in turn."""
         latest_ms = self._clock.now_ms() - _SERVER_PERIOD_MS
         found = [
             link
-            for link in self._links.links
+            for link in (self._links.links if links is None else links)
             if not link.is_probing
             and (
                 link.probed_ms <= latest_ms
--- a/packages/gateway/cowslipvalve_gateway/_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverlinks.py
@@ -66,6 +66,8 @@
     def __init__(self, clock: base.Clock) -> None:
         self._clock = clock
         self._links: dict[_links.Link, None] = {}
+        # Those that something waits on, or did at the last check.
+        self._waiting: dict[_links.Link, None] = {}
         self._detours = _hosthealth.create_host_health(
             clock, _FIRST_DETOUR_PAUSE_MS, _MAX_DETOUR_PAUSE_MS
         )
@@ -88,6 +90,11 @@
         """The links to all registered servers."""
         return tuple(self._links)
 
+    @property
+    def waiting(self) -> tuple[_links.Link, ...]:
+        """The links that something may wait on."""
+        return tuple(self._waiting)
+
     @property
     def is_doubtful(self) -> bool:
         """Whether this host may reach no server at all."""
@@ -120,6 +127,7 @@
     def remove(self, link: _links.Link) -> None:
         """Removes the link to a server that is no longer registered."""
         self._links.pop(link, None)
+        self._waiting.pop(link, None)
 
     def is_cut_off(
         self,
@@ -164,21 +172,29 @@
         now_ms = self._clock.now_ms()
         is_held_up = now_ms - self._checked_ms > _MAX_CHECK_GAP_MS
         self._checked_ms = now_ms
-        self.has_unreached = any(
-            link.is_unreached or not link.takes_connections
-            for link in self._links
-        )
+        if self.has_unreached:
+            self.has_unreached = any(
+                link.is_unreached or not link.takes_connections
+                for link in self._links
+            )
         if is_held_up:
             return
-        for link in self.links:
+        for link in self.waiting:
             if link.waits:
                 self._record_slow_connects(link)
                 link.cut_waits(self._find_patience_ms(link))
+            else:
+                del self._waiting[link]
         if self.is_stranded:
             self._end_loss()
         elif self.has_unreached:
             self._find_loss()
 
+    def handle_wait(self, link: _links.Link) -> None:
+        """Takes a link that something begins to wait on."""
+        if link in self._links:
+            self._waiting[link] = None
+
     def handle_failure(self, link: _links.Link, is_new: bool) -> None:
         """Takes the link of a server that can no longer be reached."""
         if link not in self._links:
