Connect after a loss only to servers that the host asks

A host that came to reach servers again connected to all that are registered, within a second or so. Hosts of large deployments ask few of them, and many hosts that come back together would have exceeded the servers' limits on connections. Of servers that a host never reached it now knows nothing after a loss, and connects to them only to compare, those it has asked first.

--- a/packages/gateway/cowslipvalve_gateway/_links.py
+++ b/packages/gateway/cowslipvalve_gateway/_links.py
@@ -89,6 +89,11 @@
         """The connects and requests in progress, oldest first."""
         return tuple(self._waits)
 
+    @property
+    def was_reached(self) -> bool:
+        """Whether this host has ever reached the server."""
+        return math.isfinite(self.reached_ms)
+
     @property
     def is_ready(self) -> bool:
         """Whether the server is registered to take requests."""
@@ -151,7 +156,12 @@
             self._observer.handle_reach(self, started_ms)
 
     def record_loss(self, is_silent: bool) -> None:
-        """Records that this host has lost its links to all servers."""
+        """Records that this host has lost its links to all servers.
+
+        Of a server that it never reached, nothing is known then either.
+        """
+        if not self.was_reached:
+            return
         self.takes_connections = False
         if not self.is_unreached:
             self.is_unreached = True
--- a/packages/gateway/cowslipvalve_gateway/_probechoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_probechoices.py
@@ -56,7 +56,7 @@
     ) -> Iterator[tuple[int, list[_links.Link]]]:
         """Yields the links worth a probe, with the limit on probes."""
         if self._links.is_stranded:
-            yield _MAX_PROBES, self._find_round(self._links.is_out_of_reach)
+            yield _MAX_PROBES, self._find_round(_is_unreached)
             return
         silent = self._find_due(self._is_silent, self._links.waiting)
         yield _MAX_PROBES_IN_DOUBT, silent
@@ -82,7 +82,11 @@
         is_wanted: Callable[[_links.Link], bool],
         links: Iterable[_links.Link] | None = None,
     ) -> list[_links.Link]:
-        """Returns links, least recently probed first, domains in turn."""
+        """Returns links, least recently probed first, domains in turn.
+
+        Servers that this host has never asked come last: many hosts that did so
+        at once would exceed the servers' limits on connections.
+        """
         latest_ms = self._clock.now_ms() - _SERVER_PERIOD_MS
         found = [
             link
@@ -95,7 +99,10 @@
             and is_wanted(link)
         ]
         return _take_domains_in_turn(
-            sorted(found, key=lambda link: link.probed_ms)
+            sorted(
+                found,
+                key=lambda link: (not link.was_reached, link.probed_ms),
+            )
         )
 
     def _is_silent(self, link: _links.Link) -> bool:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
@@ -14,6 +14,7 @@
 _DETECTION_MS = 1_000.0
 _REFUSED_DETECTION_MS = 150.0
 _HEALING_MS = 1_000.0
+_MAX_COMPARED = 13  # Two rounds of comparisons and the server in use.
 
 
 class LossTest(unittest.TestCase):
@@ -294,6 +295,20 @@
                         self.assertGreaterEqual(at_ms - last_ms[view], 1_000.0)
                     last_ms[view] = at_ms
 
+    def test_servers_that_are_never_asked_are_probed_only_to_compare(
+        self,
+    ) -> None:
+        network = linknetworks.LinkNetwork(_DOMAINS, _SERVICES)
+        network.play(2_000.0, is_idle=True)
+        network.hanging.update(network.views)
+        network.play(5_000.0, is_idle=True)
+        self.assertTrue(network.links.is_stranded)
+        network.hanging.clear()
+        network.play(_HEALING_MS, is_idle=True)
+        self.assertFalse(network.links.is_stranded)
+        probed = {view for _, view in network.probes}
+        self.assertLessEqual(len(probed), _MAX_COMPARED)
+
     def test_slow_request_costs_one_probe(self) -> None:
         network = linknetworks.create_network()
         network.views[0].link.start_wait(None)
