--- a/packages/gateway/cowslipvalve_gateway/_links.py
+++ b/packages/gateway/cowslipvalve_gateway/_links.py
@@ -13,6 +13,9 @@
 class LinkObserver(Protocol):
     """Is told what becomes of links."""
 
+    def handle_wait(self, link: "Link") -> None:
+        """Takes a link that something begins to wait on."""
+
     def handle_failure(self, link: "Link", is_new: bool) -> None:
         """Takes the link of a server that can no longer be reached.
 
@@ -86,6 +89,11 @@
         """The connects and requests in progress, oldest first."""
         return tuple(self._waits)
 
+    @property
+    def was_reached(self) -> bool:
+        """Whether this host has ever reached the server."""
+        return math.isfinite(self.reached_ms)
+
     @property
     def is_ready(self) -> bool:
         """Whether the server is registered to take requests."""
@@ -105,6 +113,8 @@
             started_ms=self._clock.now_ms(), end=end, is_connect=is_connect
         )
         self._waits[wait] = None
+        if self._observer is not None:
+            self._observer.handle_wait(self)
         return wait
 
     def end_wait(self, wait: Wait) -> None:
@@ -146,7 +156,12 @@
             self._observer.handle_reach(self, started_ms)
 
     def record_loss(self, is_silent: bool) -> None:
-        """Records that this host has lost its links to all servers."""
+        """Records that this host has lost its links to all servers.
+
+        Of a server that it never reached, nothing is known then either.
+        """
+        if not self.was_reached:
+            return
         self.takes_connections = False
         if not self.is_unreached:
             self.is_unreached = True
