Daemon: a server that runs on has not crashed under a body

Callers saw 503, quarantined, for a harmless query: a home reported each connection that a server broke as a crash of the server, and two such reports refuse the body at all hosts. A server that drops connections, or ends because it drains, is no proof of that.

If it still has the boot id that it had when the query was sent, or if the server drains, the reason is answer_lost: it may have run, and counts like home_lost against the two servers that one request with an unknown body may reach, but not as evidence. The warm-up still starts again at once. The body isn't started on that server meanwhile, as it counts as running until the check is done. (The gateway's rule, a refused address, doesn't fit here: servers of this platform restart in place.)

test_lost_answers_quarantine_no_request failed before the change (503, quarantined for price-lists-0-a and price-lists-2-a, both running), and passes now, with the two tests of CrashingRequestTest that allow two crashes; CrashCheckTest 2 passed; make check clean.

--- a/packages/base/cowslipvalve_base/_outcomes.py
+++ b/packages/base/cowslipvalve_base/_outcomes.py
@@ -33,6 +33,7 @@
     SNAPSHOT_UNAVAILABLE = "snapshot_gone"
     UNREACHABLE = "unreachable"
     CONNECTION_LOST = "connection_lost"
+    ANSWER_LOST = "answer_lost"
     HOME_LOST = "home_lost"
     MISMATCH = "mismatch"
     QUARANTINED = "quarantined"
@@ -59,6 +60,7 @@
         Reason.SNAPSHOT_UNAVAILABLE,
         Reason.UNREACHABLE,
         Reason.CONNECTION_LOST,
+        Reason.ANSWER_LOST,
         Reason.HOME_LOST,
         Reason.MISMATCH,
         Reason.PLATFORM_UNAVAILABLE,
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -36,6 +36,8 @@
 _CRASH_REASONS = frozenset(
     {model.Reason.CONNECTION_LOST, model.Reason.QUARANTINED}
 )
+# Losses that are no such evidence, although the server may have run the body.
+_LOSS_REASONS = frozenset({model.Reason.ANSWER_LOST, model.Reason.HOME_LOST})
 
 
 class SearchRun:
@@ -68,7 +70,7 @@
         self._updated = asyncio.Event()
         self._hits: tuple[model.Hit, ...] = ()
         self._total_hits = 0
-        # The servers that may have crashed when they ran the body.
+        # The servers whose answers to the body were lost.
         self._lost_servers: set[str] = set()
         self._hedge_at_ms = float("inf")
         self._hedge_deferrals = 0
@@ -182,8 +184,7 @@
         shard.reason = result.reason
         if result.outcome is model.Outcome.UNKNOWN:
             shard.may_have_run = True
-        if result.reason is model.Reason.HOME_LOST:
-            # The body may have crashed the server, but that is not known.
+        if result.reason in _LOSS_REASONS:
             self._lost_servers.add(result.server)
         if result.reason in _CRASH_REASONS:
             self._record_connection_loss(
--- a/packages/daemon/cowslipvalve_daemon/_serverhealth.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverhealth.py
@@ -16,11 +16,14 @@
 
     The server's state endpoint is only a hint: it can report that the server
     is draining, but it cannot override what the outcomes have shown.
+
+    Attributes:
+      boot_id: The server's last known boot id, empty before the first.
     """
 
     def __init__(self, clock: model.Clock) -> None:
         self._clock = clock
-        self._boot_id = ""
+        self.boot_id = ""
         self._draining_until_ms = _NEVER
         self._unreachable_until_ms = _NEVER
         self._consecutive_failures = 0
@@ -70,7 +73,7 @@
         Returns:
           Whether the server has restarted.
         """
-        old, self._boot_id = self._boot_id, boot_id
+        old, self.boot_id = self.boot_id, boot_id
         return bool(old) and old != boot_id
 
     def block_body(self, fingerprint: str) -> None:
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -12,6 +12,7 @@
 import cowslipvalve_model as model
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _configurations
+from cowslipvalve_daemon import _crashchecks
 from cowslipvalve_daemon import _jobs
 from cowslipvalve_daemon import _memberships
 from cowslipvalve_daemon import _metrics
@@ -279,6 +280,7 @@
         # while the server is still working.
         timeout_ms += _DEADLINE_GRACE_MS
         opened_before = self._client.connections_opened
+        boot_id = self._health.boot_id
         try:
             reply = await self._client.query(
                 model.ServerBatch(tuple(job.query for job in batch)), timeout_ms
@@ -287,14 +289,16 @@
             self._handle_refused_connection()
             _finish_all(batch, model.Outcome.NOT_RUN, error.reason)
         except model.CrashedError as error:
-            self._handle_crash(batch, error)
             alone = len(batch) == 1 and self._busy_slots == 1
-            for job in batch:
-                job.finish(
-                    model.Outcome.UNKNOWN,
-                    model.Reason.CONNECTION_LOST,
-                    alone=alone,
+            # At once, as the server is cold if it has restarted.
+            self._restart_warm_up("connection-lost")
+            self._handle_failure(error)
+            if await self._runs_on(boot_id):
+                _finish_all(
+                    batch, model.Outcome.UNKNOWN, model.Reason.ANSWER_LOST
                 )
+            else:
+                self._finish_crashed(batch, alone)
         except model.UnknownOutcomeError as error:
             self._handle_failure(error)
             reason = model.Reason.MISMATCH
@@ -399,15 +403,25 @@
         self._queue.refuse_all(model.Reason.UNREACHABLE)
         self.publish()
 
-    def _handle_crash(
-        self, batch: list[_jobs.ShardJob], error: model.CrashedError
-    ) -> None:
+    async def _runs_on(self, boot_id: str) -> bool:
+        """Whether a server that broke a connection has not crashed.
+
+        A server that drains may end at any time.
+        """
+        if self._health.reason is model.Reason.DRAINING:
+            return True
+        return await _crashchecks.is_running(self._client, boot_id, self._clock)
+
+    def _finish_crashed(self, batch: list[_jobs.ShardJob], alone: bool) -> None:
         for job in batch:
             if not job.is_trusted:
                 self._health.block_body(job.fingerprint)
                 self._queue.refuse_body(job.fingerprint)
-        self._restart_warm_up("connection-lost")
-        self._handle_failure(error)
+            job.finish(
+                model.Outcome.UNKNOWN,
+                model.Reason.CONNECTION_LOST,
+                alone=alone,
+            )
 
     def _handle_failure(self, error: model.CowslipvalveError) -> None:
         if self._health.record_failure():
--- a/packages/daemon/cowslipvalve_daemon/tests/test_read_sessions.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_read_sessions.py
@@ -165,3 +165,20 @@
         )
         self.assertEqual(status, 200)
         self.assert_answer(answer, "harmless", [])
+
+    async def test_lost_answers_quarantine_no_request(self) -> None:
+        deployment = await self.start()
+        await _sessions.set_faults(deployment, {"lose": "after"})
+        for host in deployment.hosts:
+            status, answer = await deployment.query(
+                host, self.search, "unlucky", deadlineMs=500
+            )
+            self.assertNotEqual(status, 200, answer)
+        await _sessions.set_faults(deployment, {"lose": ""})
+        await asyncio.sleep(_RECOVERY_S)
+        for host in deployment.hosts:
+            status, answer = await deployment.query(
+                host, self.search, "unlucky"
+            )
+            self.assertEqual(status, 200, answer)
+            self.assert_answer(answer, "unlucky", [])
