Take a server that refuses and is removed for ended

If one request ends all servers of a small deployment at once, no server is reached in the time in which an end needs that as proof, and the request was not quarantined: in one of three whole runs of the adapter's tests since (load average 5 to 7) test_gathered_request_that_ended_servers_is_not_sent_on failed. A server that refused connections, was registered as ready, and is removed from the registrations meanwhile has ended now, too: a cut from the host does not remove it.

No unit test of its own yet.

--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -198,6 +198,9 @@
             return True
         refused_ms = self._clock.now_ms()
         while self._links.proven_ms <= check.lost_ms:
+            if not view.pool.max_connections:
+                # It was removed meanwhile, which a cut does not do.
+                return view.server.state is _resources.ServerState.READY
             if self._clock.now_ms() - refused_ms > _MAX_DOUBT_MS:
                 return False
             await self._clock.sleep_ms(_DOUBT_CHECK_MS)
