--- a/packages/gateway/cowslipvalve_gateway/tests/test_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_groupcalls.py
@@ -69,6 +69,10 @@
                 context.groups.ask = ask
                 context.clock = _clocks.create_manual_clock()
                 context.host_health.is_suspect.return_value = False
+                context.detours.is_refusing.return_value = False
+                context.detours.find_round_trip_ms.return_value = 0.0
+                context.links.is_stranded = False
+                context.links.has_unreached = False
                 context.catalog.get_table_version.return_value = 1
                 with mock.patch.object(
                     _servicecalls, "ServiceCall"
