--- a/packages/gateway/cowslipvalve_gateway/_attemptlogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_attemptlogs.py
@@ -3,6 +3,7 @@
 import logging
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _servers
@@ -39,3 +40,26 @@
         **context.describe_budget(service),
         **fields,
     )
+
+
+def record_sent(
+    context: _callcontexts.CallContext,
+    request: _calls.CallerRequest,
+    service: str,
+    attempt: _attempts.Attempt,
+) -> None:
+    """Counts a sent attempt; logs it if its server states a rate limit."""
+    context.measurements.count("attempts")
+    rate_limit = attempt.view.rate_limit
+    if not rate_limit.is_stated:
+        return
+    context.measurements.count("attempts_to_limited", attempt.kind)
+    log_attempt(
+        context,
+        request,
+        service,
+        "limited-attempt",
+        attempt.view,
+        kind=attempt.kind,
+        requests_per_s=rate_limit.requests_per_s,
+    )
--- a/packages/gateway/cowslipvalve_gateway/_attempts.py
+++ b/packages/gateway/cowslipvalve_gateway/_attempts.py
@@ -24,6 +24,13 @@
             return []
         return [v for v in usable if v.server.instance_id != self.server]
 
+    def leaves_none(
+        self, usable: list[_servers.ServerView], max_attempts: int
+    ) -> bool:
+        """Whether the route's attempts allow none of the usable servers."""
+        excluded = self.find_excluded(usable, max_attempts)
+        return bool(usable) and len(excluded) == len(usable)
+
 
 @attrs.define(kw_only=True, eq=False)
 class Attempt:
@@ -41,6 +48,8 @@
     task: asyncio.Task[None] | None = None
     # When the request was sent, on the process's clock; None before that.
     sent_ms: float | None = None
+    # Whether what was taken for the attempt was returned.
+    is_refunded: bool = False
 
     @property
     def kind(self) -> str:
--- a/packages/gateway/cowslipvalve_gateway/_relays.py
+++ b/packages/gateway/cowslipvalve_gateway/_relays.py
@@ -95,14 +95,19 @@
             if not isinstance(result.outcome, _calls.Refusal):
                 return result.outcome
             last = self._merge_refusal(result.outcome)
+            if result.outcome.reason is _calls.RefusalReason.NO_BUDGET:
+                continue
             if not result.is_unreached:
                 return last
             is_unreached = True
         if is_unreached:
             self._context.links.record_detour(self._service, False)
-        if self._may_have_run:
-            return _refusals.create_refusal(_calls.RefusalReason.LOST, True)
-        return last
+        if not self._may_have_run:
+            return last
+        reason = _calls.RefusalReason.LOST
+        if last.reason is _calls.RefusalReason.NO_BUDGET:
+            reason = last.reason
+        return _refusals.create_refusal(reason, True)
 
     def _merge_refusal(self, refusal: _calls.Refusal) -> _calls.Refusal:
         """Returns a helper's refusal, which knows nothing of earlier sends."""
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -105,6 +105,11 @@
             self._context, self._route, self.service
         )
 
+    @property
+    def _is_final(self) -> bool:
+        is_quarantined = self.reason is _calls.RefusalReason.QUARANTINED
+        return is_quarantined or self._is_cut_off
+
     def describe(self) -> str:
         """Returns service, tried servers, attempts and state for a log line."""
         state = self.reason.value if self.is_settled else "waiting"
@@ -121,10 +126,13 @@
         """Starts an attempt, or waits until a cold server may get it."""
         if self.is_settled or self._start_attempt():
             return
-        is_quarantined = self.reason is _calls.RefusalReason.QUARANTINED
-        if is_quarantined or self._is_cut_off:
+        if self._is_final:
             self._settle()
             return
+        if self._repeat is not None and self._repeat.leaves_none(
+            self._find_usable(), self._route.max_attempts
+        ):
+            self.reason = _calls.RefusalReason.LOST
         if not self._wait_for_cold_server():
             if _servicewaits.is_exhausted(
                 self._context, self._route, self.service
@@ -194,10 +202,14 @@
         """Returns the servers that the next attempt must not use."""
         if self._repeat is None:
             return self._tried
-        usable = self._context.selector.find_usable(self._route, self.service)
-        excluded = self._repeat.find_excluded(usable, self._route.max_attempts)
+        excluded = self._repeat.find_excluded(
+            self._find_usable(), self._route.max_attempts
+        )
         return [*self._tried, *excluded]
 
+    def _find_usable(self) -> list[_servers.ServerView]:
+        return self._context.selector.find_usable(self._route, self.service)
+
     async def _run(self, attempt: _attempts.Attempt) -> None:
         view = attempt.view
         try:
@@ -228,11 +240,13 @@
         finally:
             if attempt in self._running:
                 self._running.remove(attempt)
-            if attempt.sent_ms is None:
-                self._refund(attempt)
+            self._refund(attempt)
 
     def _refund(self, attempt: _attempts.Attempt) -> None:
         """Returns what was taken for an attempt that was not sent."""
+        if attempt.sent_ms is not None or attempt.is_refunded:
+            return
+        attempt.is_refunded = True
         if attempt.extra is not None:
             self._context.budget(self.service).refund(attempt.extra)
         if attempt.admission is _limiters.Admission.TOKEN_TAKEN:
@@ -243,17 +257,9 @@
         if attempt.extra is not None:
             self._context.budget(self.service).record_sent(attempt.extra)
         self.attempts += 1
-        self._context.measurements.count("attempts")
-        if attempt.view.rate_limit.is_stated:
-            self._context.measurements.count(
-                "attempts_to_limited", attempt.kind
-            )
-            self._log(
-                "limited-attempt",
-                attempt.view,
-                kind=attempt.kind,
-                requests_per_s=attempt.view.rate_limit.requests_per_s,
-            )
+        _attemptlogs.record_sent(
+            self._context, self._request, self.service, attempt
+        )
         if not self.is_settled:
             latencies = self._context.selector.latencies(
                 self._route, attempt.view
@@ -312,6 +318,8 @@
     ) -> None:
         """Retries after a failed attempt, or settles the call."""
         self._running.remove(attempt)
+        # Before a retry, which may need what is returned.
+        self._refund(attempt)
         if _failures.is_server_failure(error):
             attempt.view.record_failure()
         self._context.measurements.count("failed_attempts", reason.value)
@@ -329,10 +337,8 @@
     def _retry(self) -> bool:
         if self._start_attempt():
             return True
-        is_quarantined = self.reason is _calls.RefusalReason.QUARANTINED
-        if is_quarantined or self._is_cut_off:
-            return False
-        if self.attempts >= self._route.max_attempts or not self._tried:
+        is_used_up = self.attempts >= self._route.max_attempts
+        if self._is_final or is_used_up or not self._tried:
             return False
         if self._wait_for_cold_server():
             return True
@@ -348,9 +354,8 @@
 
     def _schedule_hedge(self, delay_ms: float) -> None:
         self._stop_timer()
-        if not self._route.is_idempotent:
-            return
-        self._start_timer(delay_ms, self._hedge)
+        if self._route.is_idempotent:
+            self._start_timer(delay_ms, self._hedge)
 
     def _hedge(self) -> None:
         """Sends a hedge to another server unless the call is settled."""
