Reserve ports with one descriptor, and limit only a host's own descriptors

Cause: each reserved port was a locked file that stayed open until the test process ended.

Change: a process locks one byte a port in one file, so that its ports take one descriptor, and a shell lowers the limit of the host alone.

--- a/standins/cowslipvalve_standins/_deployments.py
+++ b/standins/cowslipvalve_standins/_deployments.py
@@ -1,7 +1,9 @@
 """Runs a platform, backend servers and daemons as local processes."""
 
 import asyncio
+import errno
 import fcntl
+import functools
 import pathlib
 import random
 import shutil
@@ -26,8 +28,8 @@
 _LOOPBACK = "127.0.0.1"
 _FIRST_PORT = 20_000
 _LAST_PORT = 32_000  # The ephemeral ports of Linux begin at 32768.
-# The locked file of each port that this process has reserved.
-_locks: dict[int, IO[str]] = {}
+# The ports that this process has reserved.
+_reserved: set[int] = set()
 
 
 def choose_ports(count: int) -> list[int]:
@@ -43,25 +45,33 @@
     while len(ports) < count:
         port = candidates.pop()
         with socket.socket() as probe:
-            if port not in _locks and _can_bind(probe, port) and _lock(port):
+            if port not in _reserved and _can_bind(probe, port) and _lock(port):
                 ports.append(port)
     return ports
 
 
 def _lock(port: int) -> bool:
     """Reserves a port until this process ends; returns whether it was free."""
-    folder = pathlib.Path(tempfile.gettempdir()) / "cowslipvalve-ports"
-    folder.mkdir(exist_ok=True)
-    file = (folder / str(port)).open("w")
     try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        file.close()
+        fcntl.lockf(_open_locks(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError as error:
+        if error.errno not in (errno.EACCES, errno.EAGAIN):
+            raise
         return False
-    _locks[port] = file
+    _reserved.add(port)
     return True
 
 
+@functools.cache
+def _open_locks() -> IO[bytes]:
+    """Opens the file in which each process locks a byte for each of its ports.
+
+    Closing it would end all locks of the process.
+    """
+    path = pathlib.Path(tempfile.gettempdir()) / "cowslipvalve-ports.lock"
+    return path.open("wb")
+
+
 def _can_bind(probe: socket.socket, port: int) -> bool:
     try:
         probe.bind((_LOOPBACK, port))
--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -44,6 +44,9 @@
     seeds: tuple[str, ...] = ()
     # The host's own addresses: for callers, readiness, metrics and state.
     addresses: list[str] = attrs.field(factory=list)
+    # The most descriptors that a process may have open; None for this process's
+    # own limit.
+    max_descriptors: int | None = None
     # The last process that was started, if any.
     process: asyncio.subprocess.Process | None = None
 
@@ -89,9 +92,7 @@
         """Starts a process, with the settings file as it is."""
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-S",
-                PROGRAM,
+                *self._list_arguments(),
                 env={
                     "COWSLIPVALVE_SETTINGS": str(self.settings_path),
                     "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
@@ -100,6 +101,14 @@
                 stderr=errors or log,
             )
 
+    def _list_arguments(self) -> list[str]:
+        arguments = [sys.executable, "-S", str(PROGRAM)]
+        if self.max_descriptors is None:
+            return arguments
+        # Only the shell's own limit changes.
+        script = 'ulimit -n "$0" && exec "$@"'
+        return ["sh", "-c", script, str(self.max_descriptors), *arguments]
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
         assert self.process is not None
--- a/standins/cowslipvalve_standins/tests/test_ports.py
+++ b/standins/cowslipvalve_standins/tests/test_ports.py
@@ -1,9 +1,12 @@
 """Tests of the reservation of ports."""
 
 import asyncio
+import pathlib
 import sys
 import unittest
 
+from cowslipvalve_standins import _deployments
+
 _COUNT = 500
 _CHOOSE = (
     "from cowslipvalve_standins import _deployments;"
@@ -11,8 +14,17 @@
 )
 
 
+def _count_descriptors() -> int:
+    return len(list(pathlib.Path("/proc/self/fd").iterdir()))
+
+
 class PortTest(unittest.IsolatedAsyncioTestCase):
 
+    def test_reserved_ports_use_up_no_descriptors(self) -> None:
+        before = _count_descriptors()
+        _deployments.choose_ports(_COUNT)
+        self.assertLessEqual(_count_descriptors(), before + 1)
+
     async def test_processes_that_run_at_once_get_distinct_ports(self) -> None:
         processes = [
             await asyncio.create_subprocess_exec(
