--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -322,6 +322,11 @@
         """Changes the load."""
         self._load = self._rng.choice((0.0, 0.5, 1.0, 2.0, 3.0))
 
+    def move_and_press(self) -> None:
+        """Moves the callers and changes the load."""
+        self.move()
+        self.press()
+
     def _draw_period(self) -> float:
         return self._rng.uniform(500.0, 12_000.0)
 
@@ -339,7 +344,8 @@
 class TrafficTest(unittest.TestCase):
 
     def test_callers_that_move_or_press_earn_no_attempts_twice(self) -> None:
-        for change in (_Traffic.move, _Traffic.press):
+        changes = (_Traffic.move, _Traffic.press, _Traffic.move_and_press)
+        for change in changes:
             for seed in range(1, 26):
                 with self.subTest(change.__name__, seed=seed):
                     worst = _Traffic(seed).run(change)
