Take a host's own code for running only once SIGTERM is handled

Cause: the test took an ignored SIGHUP for the sign that the host's own lines had run. A child inherits ignored signals, so under nohup (SIGHUP) or behind a shell's "&" (SIGINT) the sign is there before the interpreter has started: SIGTERM then ended it, and SIGINT, ignored as well, was lost. With trap '' HUP INT the old test failed 3 of 3 with the same two results, without it 3 of 3 passed.

Ruled out: the window between the handlers of the host is not needed for either result.

Change: runs_own_code looks at SIGTERM, which neither nohup nor "&" ignores.

Remains: with SIGHUP ignored by the starter, hosts in tests inherit that until their first lines, so that tests of hangups at the start are milder in such runs.

--- a/standins/cowslipvalve_standins/_hostprocesses.py
+++ b/standins/cowslipvalve_standins/_hostprocesses.py
@@ -26,7 +26,7 @@
 _HTTP_OK = 200
 # Started by its path, as deploy/system.toml does it.
 PROGRAM = _ROOT / "platform" / "cowslipvalve_host" / "__main__.py"
-_SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
+_SIGTERM_BIT = 1 << (signal.SIGTERM - 1)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,7 +121,9 @@
     def runs_own_code(self) -> bool:
         """Whether the process is past the start of the interpreter.
 
-        Until then no program can keep a SIGHUP from ending its process.
+        Until then no program can keep a signal from ending its process. SIGHUP
+        and SIGINT tell nothing: nohup and a shell's "&" ignore them for all
+        children, and the interpreter handles SIGINT itself.
         """
         assert self.process is not None
         try:
@@ -129,7 +131,7 @@
         except OSError:  # The process has ended.
             return False
         masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", text, re.MULTILINE)
-        return any(int(mask, 16) & _SIGHUP_BIT for mask in masks)
+        return any(int(mask, 16) & _SIGTERM_BIT for mask in masks)
 
     async def wait(self) -> int:
         """Waits until the process has ended; returns its exit status."""
