--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -15,6 +15,7 @@
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _servicewaits
+from cowslipvalve_gateway import _timers
 
 # Outlasts a usual pause of a server, as cancelling costs a new connection.
 _SUPERSEDED_TIMEOUT_MS = 400.0
@@ -70,7 +71,7 @@
         self._repeat = repeat
         self._tried: list[_servers.ServerView] = []
         self._running: list[_attempts.Attempt] = []
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = _timers.create_timer()
         # Asking for permits to several servers would keep the caller waiting.
         self._may_ask_permit = True
         self.service = service
@@ -145,7 +146,7 @@
             self._route, self.service, self._tried
         )
         if is_paced:
-            self._start_timer(_COLD_RETRY_MS, self._start_or_wait)
+            self._timer.start(_COLD_RETRY_MS, self._start_or_wait)
         return is_paced
 
     def abandon(self) -> None:
@@ -153,7 +154,7 @@
         if not self.is_settled:
             self.reason = _calls.RefusalReason.TIMEOUT
         self.is_settled = True
-        self._stop_timer()
+        self._timer.stop()
         for attempt in self._running:
             if attempt.task is not None:
                 attempt.task.cancel()
@@ -346,16 +347,16 @@
             return False
         # An overloaded server may accept the request later.
         self._tried.clear()
-        self._start_timer(_OVERLOAD_RETRY_MS, self._start_or_wait)
+        self._timer.start(_OVERLOAD_RETRY_MS, self._start_or_wait)
         return True
 
     def _may_retry(self) -> bool:
         return self._route.is_idempotent or not self.has_run
 
     def _schedule_hedge(self, delay_ms: float) -> None:
-        self._stop_timer()
+        self._timer.stop()
         if self._route.is_idempotent:
-            self._start_timer(delay_ms, self._hedge)
+            self._timer.start(delay_ms, self._hedge)
 
     def _hedge(self) -> None:
         """Sends a hedge to another server unless the call is settled."""
@@ -374,7 +375,7 @@
 
     def _settle(self) -> None:
         self.is_settled = True
-        self._stop_timer()
+        self._timer.stop()
         loop = asyncio.get_running_loop()
         for attempt in self._running:
             if attempt.task is not asyncio.current_task() and attempt.task:
@@ -384,17 +385,6 @@
                 )
         self._on_settled(self)
 
-    def _start_timer(self, delay_ms: float, step: Callable[[], None]) -> None:
-        self._stop_timer()
-        self._timer = asyncio.get_running_loop().call_later(
-            base.to_seconds(delay_ms), step
-        )
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
