--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -216,9 +216,7 @@
         if not self._may_detour(call):
             _groupcalls.report_settled(call, self)
             return
-        if not call.attempts:
-            # The host that sends the request counts it.
-            self._context.budget(call.service).withdraw_request()
+        call.withdraw()
         if not self._cut_off_calls:
             # Links that are lost end other calls in the same turn.
             asyncio.get_running_loop().call_soon(self._start_detours)
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -34,6 +34,7 @@
         self._clock = context.clock
         self._catalog = context.catalog
         self._route = message.route
+        self._is_detour = message.is_detour
         self._target_ms = request.received_ms + message.target_remaining_ms
         self._deadline_ms = request.deadline_ms
         self._changed = asyncio.Event()
@@ -174,6 +175,8 @@
             self._failed[call.service] = call.wait_ms
             if _singleoutcomes.is_unreached(call):
                 self._unreached.append(call.service)
+                if self._is_detour:
+                    call.withdraw()
         self._changed.set()
 
 
--- a/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -123,9 +123,10 @@
             if not call.is_settled:
                 call.abandon()
         self._record(message, caller_request, call, outcome)
-        for report in _relaymessages.create_last_reports(
-            outcome, _singleoutcomes.is_unreached(call)
-        ):
+        is_unreached = _singleoutcomes.is_unreached(call)
+        if is_unreached:
+            call.withdraw()
+        for report in _relaymessages.create_last_reports(outcome, is_unreached):
             await _write(response, report)
         await response.write_eof()
         return response
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -22,8 +22,7 @@
 _OVERLOAD_RETRY_MS = 25.0  # A full server completes a request in this time.
 # A longer wait for a connection costs callers more than a failed attempt.
 _CONNECT_TARGET_SHARE = 0.25
-# How often a call checks whether a cold server may get its request.
-_COLD_RETRY_MS = 20.0
+_COLD_RETRY_MS = 20.0  # How often a cold server is tried.
 _FIRST_SERVER_ERROR = 500
 
 
@@ -74,6 +73,7 @@
         self._timer = _timers.create_timer()
         # Asking for permits to several servers would keep the caller waiting.
         self._may_ask_permit = True
+        self._is_counted = False
         self.service = service
         self.answer: _calls.ServerAnswer | None = None
         self.reason = _calls.RefusalReason.NO_SERVER
@@ -119,10 +119,16 @@
 
     def start(self) -> None:
         """Starts the first attempt; settles the call if there is no server."""
-        if self._repeat is None and not self._is_cut_off:
+        self._is_counted = self._repeat is None and not self._is_cut_off
+        if self._is_counted:
             self._context.budget(self.service).add_request()
         self._start_or_wait()
 
+    def withdraw(self) -> None:
+        """Leaves it to the host that sends the request to count it."""
+        if self._is_counted and not self.attempts:
+            self._context.budget(self.service).withdraw_request()
+
     def _start_or_wait(self) -> None:
         """Starts an attempt, or waits until a cold server may get it."""
         if self.is_settled or self._start_attempt():
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -41,9 +41,7 @@
                 call.abandon()
         if not _may_relay(context, route, call):
             return outcome
-        if not call.attempts:
-            # The host that sends the request counts it.
-            context.budget(service).withdraw_request()
+        call.withdraw()
     earlier = _relays.Earlier(
         may_have_run=call.attempts > 0, server=call.first_server
     )
