--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -15,14 +15,14 @@
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _servicewaits
+from cowslipvalve_gateway import _timers
 
 # Outlasts a usual pause of a server, as cancelling costs a new connection.
 _SUPERSEDED_TIMEOUT_MS = 400.0
 _OVERLOAD_RETRY_MS = 25.0  # A full server completes a request in this time.
 # A longer wait for a connection costs callers more than a failed attempt.
 _CONNECT_TARGET_SHARE = 0.25
-# How often a call checks whether a cold server may get its request.
-_COLD_RETRY_MS = 20.0
+_COLD_RETRY_MS = 20.0  # How often a cold server is tried.
 _FIRST_SERVER_ERROR = 500
 
 
@@ -70,9 +70,10 @@
         self._repeat = repeat
         self._tried: list[_servers.ServerView] = []
         self._running: list[_attempts.Attempt] = []
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = _timers.create_timer()
         # Asking for permits to several servers would keep the caller waiting.
         self._may_ask_permit = True
+        self._is_counted = False
         self.service = service
         self.answer: _calls.ServerAnswer | None = None
         self.reason = _calls.RefusalReason.NO_SERVER
@@ -118,10 +119,16 @@
 
     def start(self) -> None:
         """Starts the first attempt; settles the call if there is no server."""
-        if self._repeat is None and not self._is_cut_off:
+        self._is_counted = self._repeat is None and not self._is_cut_off
+        if self._is_counted:
             self._context.budget(self.service).add_request()
         self._start_or_wait()
 
+    def withdraw(self) -> None:
+        """Leaves it to the host that sends the request to count it."""
+        if self._is_counted and not self.attempts:
+            self._context.budget(self.service).withdraw_request()
+
     def _start_or_wait(self) -> None:
         """Starts an attempt, or waits until a cold server may get it."""
         if self.is_settled or self._start_attempt():
@@ -145,7 +152,7 @@
             self._route, self.service, self._tried
         )
         if is_paced:
-            self._start_timer(_COLD_RETRY_MS, self._start_or_wait)
+            self._timer.start(_COLD_RETRY_MS, self._start_or_wait)
         return is_paced
 
     def abandon(self) -> None:
@@ -153,7 +160,7 @@
         if not self.is_settled:
             self.reason = _calls.RefusalReason.TIMEOUT
         self.is_settled = True
-        self._stop_timer()
+        self._timer.stop()
         for attempt in self._running:
             if attempt.task is not None:
                 attempt.task.cancel()
@@ -346,16 +353,16 @@
             return False
         # An overloaded server may accept the request later.
         self._tried.clear()
-        self._start_timer(_OVERLOAD_RETRY_MS, self._start_or_wait)
+        self._timer.start(_OVERLOAD_RETRY_MS, self._start_or_wait)
         return True
 
     def _may_retry(self) -> bool:
         return self._route.is_idempotent or not self.has_run
 
     def _schedule_hedge(self, delay_ms: float) -> None:
-        self._stop_timer()
+        self._timer.stop()
         if self._route.is_idempotent:
-            self._start_timer(delay_ms, self._hedge)
+            self._timer.start(delay_ms, self._hedge)
 
     def _hedge(self) -> None:
         """Sends a hedge to another server unless the call is settled."""
@@ -374,7 +381,7 @@
 
     def _settle(self) -> None:
         self.is_settled = True
-        self._stop_timer()
+        self._timer.stop()
         loop = asyncio.get_running_loop()
         for attempt in self._running:
             if attempt.task is not asyncio.current_task() and attempt.task:
@@ -384,17 +391,6 @@
                 )
         self._on_settled(self)
 
-    def _start_timer(self, delay_ms: float, step: Callable[[], None]) -> None:
-        self._stop_timer()
-        self._timer = asyncio.get_running_loop().call_later(
-            base.to_seconds(delay_ms), step
-        )
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
     def _log(
         self, event: str, view: _servers.ServerView, **fields: object
     ) -> None:
