End a connection between hosts whose sending task fails

Callers saw: one query that cannot be encoded (a body nested 252 to 254 deep, which the daemon accepts and orjson cannot encode within a batch) stalls all later queries from that host to that home up to their deadlines, as long as the connection lasts. An answer of a server with a document nested as deep does the same to all answers to that host.

Cause: the tasks that send batches of queries and of partial answers are awaited by nobody; an unexpected error ends them, while the task that receives goes on and keeps the connection open. asyncio would report the error only when the connection ends.

Ruled out: errors in the tasks of mode.Service and of add_future of the daemon: mode logs them and the process ends with a message, so that they do not vanish.

Change: an unexpected error of a sending task is logged with its traceback and closes the connection, which fails the pending queries on it (UNKNOWN, as they may have been sent) and lets the next query connect again. Errors of a broken connection stay in the debug log; the receiving task meets them as well.

Conclusion: a failing sender stalls nobody any more.

--- a/packages/daemon/cowslipvalve_daemon/_peerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_peerapi.py
@@ -12,6 +12,7 @@
 from cowslipvalve_daemon import _heartbeats
 from cowslipvalve_daemon import _homes
 from cowslipvalve_daemon import _orders
+from cowslipvalve_daemon import _sendings
 
 _T = TypeVar("_T")
 
@@ -126,7 +127,11 @@
 
     async def run(self) -> None:
         """Runs the peer's queries until the connection closes."""
-        sending = asyncio.ensure_future(self._send_partials())
+        sending = asyncio.ensure_future(
+            _sendings.send_or_close(
+                self._socket, self._send_partials(), "send-answers"
+            )
+        )
         try:
             async for message in self._socket:
                 if message.type is aiohttp.WSMsgType.BINARY:
--- a/packages/daemon/cowslipvalve_daemon/_querystreams.py
+++ b/packages/daemon/cowslipvalve_daemon/_querystreams.py
@@ -10,6 +10,7 @@
 
 import cowslipvalve_model as model
 from cowslipvalve_daemon import _memberships
+from cowslipvalve_daemon import _sendings
 
 _LOGGER = logging.getLogger(__name__)
 _BATCH_INTERVAL_MS = 2  # Between two batches while queries are waiting.
@@ -140,7 +141,11 @@
         )
         self._socket = socket
         async with socket:
-            sending = asyncio.ensure_future(self._send_batches(socket))
+            sending = asyncio.ensure_future(
+                _sendings.send_or_close(
+                    socket, self._send_batches(socket), "send-queries"
+                )
+            )
             try:
                 async for message in socket:
                     self._handle_message(message)
