Refuse bodies that are nested too deep for messages between hosts

From 255 on it is answered 500 without the daemon's error answer, and so are orders that are nested deep.

Cause: orjson parses text up to 1024 levels deep and writes up to 254. The daemon passes a body on inside of its own messages, which add levels, and nothing checks that they can hold it.

Ruled out: numbers and texts that are parsed but not written. orjson refuses lone surrogates and reads great whole numbers as floating point.

Change: check_depth writes the request as deep as the messages between hosts hold it; if that fails, the caller gets 400, bad_request. Requests that could be passed on before are accepted as before: queries up to 251, orders up to 252 levels. It costs one more encoding of a body; its time was not measured.

Evidence: test_body_that_no_message_can_hold_is_not_run fails on the code before in 10 of 10 cases (503 of the stand-in instead of 400), and passes after it; test_deep_body_that_messages_can_hold_is_run passes on both. The 500 follows from the code and from a trial of orjson (255 levels: "Recursion limit reached" in compute_fingerprint); it was not run through a daemon.

Conclusion: no caller's body breaks a connection between hosts by its depth. What remains: a server's answer with a document as deep still does.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -13,6 +13,7 @@
 from cowslipvalve_base._codec import encode_plain
 from cowslipvalve_base._codec import decode
 from cowslipvalve_base._codec import decode_plain
+from cowslipvalve_base._codec import check_depth
 from cowslipvalve_base._cutoffs import Cutoff
 from cowslipvalve_base._cutoffs import create_cutoff
 from cowslipvalve_base._damage import decode_damaged
@@ -64,6 +65,7 @@
     "TextEnum",
     "UnknownOutcomeError",
     "check_address",
+    "check_depth",
     "choose_name",
     "compute_fraction",
     "create_clock",
--- a/packages/base/cowslipvalve_base/_codec.py
+++ b/packages/base/cowslipvalve_base/_codec.py
@@ -216,6 +216,30 @@
     return orjson.dumps(plain, option=orjson.OPT_SORT_KEYS)
 
 
+def check_depth(plain: Any, levels: int) -> None:
+    """Checks that a message can hold plain data.
+
+    Text may be nested deeper when it is parsed than when it is written.
+
+    Args:
+      plain: The plain data.
+      levels: How many levels deep the message holds it.
+
+    Raises:
+      InputError: The data is nested too deep.
+    """
+    message = plain
+    for _ in range(levels):
+        message = [message]
+    try:
+        orjson.dumps(message)
+    except orjson.JSONEncodeError as error:
+        raise _errors.InputError(
+            f"cannot be passed on: {error}; nest it less deep",
+            step="check-depth",
+        ) from error
+
+
 def decode(kind: type[_T], text: bytes) -> _T:
     """Builds a value from JSON text that a process wrote.
 
--- a/packages/daemon/cowslipvalve_daemon/_callerapi.py
+++ b/packages/daemon/cowslipvalve_daemon/_callerapi.py
@@ -19,6 +19,9 @@
 _HTTP_CONTENT_TOO_LARGE = 413
 _HTTP_SERVICE_UNAVAILABLE = 503
 _HTTP_GATEWAY_TIMEOUT = 504
+# How much deeper than a request the messages between hosts hold it.
+_QUERY_LEVELS = 2
+_ORDER_LEVELS = 1
 _STATUS_BY_OUTCOME = {
     model.Outcome.ANSWERED: 200,
     model.Outcome.NOT_RUN: _HTTP_SERVICE_UNAVAILABLE,
@@ -60,7 +63,9 @@
 
     async def _query(self, request: web.Request) -> web.Response:
         async def run(request_id: str) -> Any:
-            body = await _decode_body(request, model.SearchRequest)
+            body = await _decode_body(
+                request, model.SearchRequest, _QUERY_LEVELS
+            )
             return await self._coordinator.run(
                 request.match_info["name"], body, request_id
             )
@@ -75,7 +80,9 @@
 
     async def _order(self, request: web.Request) -> web.Response:
         async def run(request_id: str) -> Any:
-            body = await _decode_body(request, model.OrderRequest)
+            body = await _decode_body(
+                request, model.OrderRequest, _ORDER_LEVELS
+            )
             # A started order runs to its end even if the caller disconnects.
             return await asyncio.shield(
                 self._orders.run(request.match_info["name"], body, request_id)
@@ -123,10 +130,12 @@
             )
 
 
-async def _decode_body(request: web.Request, kind: type[_T]) -> _T:
+async def _decode_body(request: web.Request, kind: type[_T], levels: int) -> _T:
     text = await request.read()
     try:
-        return model.from_plain_strict(kind, model.decode_plain(text))
+        plain = model.decode_plain(text)
+        model.check_depth(plain, levels)
+        return model.from_plain_strict(kind, plain)
     except model.InputError as error:
         raise model.RequestError(str(error), step="read-request") from error
 
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -22,6 +22,7 @@
 from cowslipvalve_base import encode_plain
 from cowslipvalve_base import decode
 from cowslipvalve_base import decode_plain
+from cowslipvalve_base import check_depth
 from cowslipvalve_model._configuration import ConfigurationChange
 from cowslipvalve_model._configuration import Configuration
 from cowslipvalve_model._configuration import ConfigurationDelta
@@ -180,6 +181,7 @@
     "UnknownOutcomeError",
     "WarmUp",
     "apply_delta",
+    "check_depth",
     "from_plain_strict",
     "compute_full_delta",
     "compute_delta",
