Start the probing of links again after an unexpected error

Seen (review, shown by the test): an error that nothing expects in the service that checks and probes links to servers stops the host, with all its services.

Cause: LinkProbing._follow_links is the one task of a mode.Service of gateway and adapter without restart_on_error.

Ruled out: the probes that it starts (create_task) end their link's probe in any case, and their errors reach the loop's bounded log; the like holds for limit notices and crash reports, whose flags are reset before what may fail.

Change: restart_on_error. The task has no state of its own.

Evidence: test_probing_of_links_that_fails_is_started_again fails on the code before (no second check within 5 s), passes after it, 1 of 1, with the four other tests of test_background_errors.

--- a/packages/gateway/cowslipvalve_gateway/_linkprobes.py
+++ b/packages/gateway/cowslipvalve_gateway/_linkprobes.py
@@ -8,6 +8,7 @@
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _links
 from cowslipvalve_gateway import _probechoices
+from cowslipvalve_gateway import _restarts
 from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
 
@@ -29,6 +30,7 @@
         self._probes: set[asyncio.Task[None]] = set()
 
     @mode.Service.task
+    @_restarts.restart_on_error
     async def _follow_links(self) -> None:
         while not self.should_stop:
             await self._clock.sleep_ms(_serverlinks.CHECK_PERIOD_MS)
