--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -43,7 +43,6 @@
 from cowslipvalve_gateway._errors import HistoryGoneError
 from cowslipvalve_gateway._errors import HostUnavailableError
 from cowslipvalve_gateway._followers import StateFollower
-from cowslipvalve_gateway._followers import StateSources
 from cowslipvalve_gateway._followers import create_state_follower
 from cowslipvalve_gateway._gateways import Gateway
 from cowslipvalve_gateway._gateways import create_gateway
@@ -144,6 +143,7 @@
 from cowslipvalve_gateway._quarantines import create_quarantine
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
+from cowslipvalve_gateway._statesources import StateSources
 from cowslipvalve_gateway._stores import Position
 from cowslipvalve_gateway._stores import StateKind
 from cowslipvalve_gateway._stores import StateItem
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -10,18 +10,15 @@
 import math
 import random
 
-import attrs
 import mode
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _hostclients
 from cowslipvalve_gateway import _replicas
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _restarts
 from cowslipvalve_gateway import _statelogs
-from cowslipvalve_gateway import _stores
-from cowslipvalve_gateway import _watcherchoices
+from cowslipvalve_gateway import _statesources
 from cowslipvalve_gateway import _watchers
 
 # The strictest deployment requires changes to reach all hosts within 3 s. A
@@ -55,24 +52,12 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class StateSources:
-    """The sources from which a host can read the state."""
-
-    # The platform's store.
-    store: _stores.StateStore
-    # The client for other hosts.
-    hosts: _hostclients.HostClient
-    # Decides which hosts to ask and whether this host watches the store.
-    choice: _watcherchoices.WatcherChoice
-
-
 class StateFollower(mode.Service):
     """Follows a source of fresh state, preferably in its own domain."""
 
     def __init__(
         self,
-        sources: StateSources,
+        sources: _statesources.StateSources,
         replica: _replicas.StateReplica,
         own: _resources.HostRecord,
         clock: base.Clock,
@@ -397,7 +382,7 @@
 
 
 def create_state_follower(
-    sources: StateSources,
+    sources: _statesources.StateSources,
     replica: _replicas.StateReplica,
     own: _resources.HostRecord,
     clock: base.Clock,
