Charge a retry only if a server is there to send it to

What callers saw: a shard whose two servers had each failed once was reported missing, although DESIGN grants it two charged retries. Its second token was taken, but nothing left.

Cause: the retry took its token and counted before a server was chosen. When both servers were tried, none could be chosen, and the shard was exhausted.

Change: a retry that finds no server takes no token. If all servers were tried, they are tried again after the retry delay, as for retries that cost nothing. If none is usable, the retry counts, so that the shard is not waited for.

Three tests of test_retry_charges failed before: one retry of two sent (two tests), and two tokens taken for none (third). The fourth, a late shard with an empty budget, passed before as well. 3 of 3 runs of the four tests pass now. A shard whose servers all fail now makes one attempt more, within the same two tokens.

--- a/packages/daemon/cowslipvalve_daemon/_runstates.py
+++ b/packages/daemon/cowslipvalve_daemon/_runstates.py
@@ -24,7 +24,8 @@
     is_hedged: bool = False
     # The time of the next retry, None if none is scheduled.
     retry_at_ms: float | None = None
-    # The number of retries that were charged to the extra-load budget.
+    # The number of retries that were charged to the extra-load budget, or that
+    # found no usable server.
     budgeted_retries: int = 0
     # Why the last attempt failed.
     reason: model.Reason = model.Reason.NO_SERVER
--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -411,6 +411,12 @@
             return True
         if shard.reason is model.Reason.NO_SERVER:
             return True
+        if self._choose_replica(shard) is None:
+            # No retry leaves. If all servers were tried, they are tried again
+            # later; if none is usable, the shard must not wait for ever.
+            if not shard.tried_servers:
+                shard.budgeted_retries += 1
+            return False
         if self._context.budget.take(1) == 0:
             return False
         shard.budgeted_retries += 1
