Send nothing to cold servers by a share of 0

What callers saw: nothing. A host's part of a cold server's rate was 0 both for "no bound" and for "no share"; no code computes a share of 0 today, but a share that is remembered over time can be 0, and would then lift the bound.

Cause: `ServerView.may_send` took 0 as no bound.

Change: `Catalog.cold_rate` is infinite where the service has no bound, and 0 lets a host send nothing. In the configuration 0 still means no bound.

--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -117,10 +117,12 @@
     def cold_rate(self, service: str) -> float:
         """Returns this host's share of a cold server's request rate.
 
-        The unit is requests per second; 0 means that there is no bound.
+        The unit is requests per second; it is infinite if there is no bound.
         """
         found = self.table.services.get(service) if self.table else None
-        return found.cold_rate / self.count_sharers(service) if found else 0.0
+        if found is None or not found.cold_rate:
+            return math.inf
+        return found.cold_rate / self.count_sharers(service)
 
     async def wait_until_complete(self, timeout_ms: float) -> bool:
         """Waits until the catalog is complete; returns False on a timeout."""
--- a/packages/gateway/cowslipvalve_gateway/_resources.py
+++ b/packages/gateway/cowslipvalve_gateway/_resources.py
@@ -74,7 +74,8 @@
     name: str
     # The maximum number of connections that a server accepts from all hosts.
     max_connections: int
-    # The requests per second that a cold server can handle, 0 for no bound.
+    # The requests per second that a cold server can handle; 0 if the service
+    # states no bound.
     cold_rate: float = 0.0
 
 
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -1,6 +1,7 @@
 """This host's observations of each backend server."""
 
 import asyncio
+import math
 import random
 
 import cowslipvalve_base as base
@@ -106,10 +107,12 @@
 
         Args:
           cold_rate: The requests per second that this host may send while the
-            server is cold, 0 for no bound.
+            server is cold, infinite for no bound.
         """
-        if not cold_rate or not self.is_cold:
+        if math.isinf(cold_rate) or not self.is_cold:
             return True
+        if not cold_rate:
+            return False
         period_ms = _MS_PER_S / cold_rate
         if self._last_cold_sent_ms is None:
             now_ms = self._clock.now_ms()
