Bound extra attempts since each one that was sent

The level of a host is what requests have earned less what it has sent; what is left since any attempt of the window follows from the greatest level before one of them, kept in a queue, so that a decision costs the same at any load (0.004 ms with 4,044 attempts in the window; a first form that counted for each of them took 3.8 ms).

By hand, callers that move and change their load at once: 0 of 700 seeds beyond the bound; before 11 of 200.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -4,6 +4,7 @@
 """
 
 import bisect
+import collections
 import enum
 import math
 
@@ -16,8 +17,6 @@
 # The rest covers callers' requests that move from one host to another within a
 # window, and hosts that join while others are cut off and count without them.
 _USABLE_SLACK_SHARE = 0.8
-# The parts of the window in which a host keeps to the bounds by itself.
-_PARTS = (0.25, 0.5, 0.75)
 # A packet that is lost once arrives that much later than it was sent.
 _ARRIVAL_MARGIN_MS = 500.0
 
@@ -74,6 +73,13 @@
         self._requests: list[float] = []
         self._sent: list[float] = []
         self._unsent: set[ExtraAttempt] = set()
+        # The extra attempts that requests have earned, less those sent.
+        self._level = 0.0
+        # The times of sent extra attempts and the levels before them, without
+        # those that a later and greater level makes irrelevant.
+        self._levels: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -84,11 +90,13 @@
     def add_request(self) -> None:
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
+        self._level += self.bounds.ratio
 
     def withdraw_request(self) -> None:
         """Withdraws a counted request that another host is to send."""
         if self._requests:
             self._requests.pop()
+            self._level -= self.bounds.ratio
 
     def compute_remaining(self, share: float) -> float:
         """Returns how many more extra attempts this window allows.
@@ -98,23 +106,20 @@
         """
         self._evict_expired()
         whole = self._compute_allowance(share) - len(self._sent)
-        parts = (self._compute_of_part(share, part) for part in _PARTS)
-        return min(whole, *parts) - len(self._unsent)
+        since = self._compute_since(self._compute_slack(share))
+        return min(whole, since) - len(self._unsent)
 
-    def _compute_of_part(self, share: float, part: float) -> float:
-        """Returns what the last part of the window allows, less what was sent.
+    def _compute_since(self, slack: float) -> float:
+        """Returns the least that is left since any extra attempt of the window.
 
-        Else callers that move from one host to another would earn extra
-        attempts at both in the same window.
+        Requests before that attempt count for the whole window only, because
+        callers that moved to another host since earn extra attempts there.
         """
-        start_ms = self._clock.now_ms() - self.bounds.window_ms * part
-        requests = len(self._requests) - bisect.bisect_left(
-            self._requests, start_ms
-        )
-        sent = len(self._sent) - bisect.bisect_left(self._sent, start_ms)
-        allowance = self.bounds.ratio * requests + self._compute_slack(share)
+        if not self._levels:
+            return math.inf
+        _, greatest = self._levels[0]
         # Few requests at a host would else seldom earn a whole attempt.
-        return math.ceil(allowance) - sent
+        return math.ceil(slack + self._level - greatest)
 
     def _compute_allowance(self, share: float) -> float:
         earned = self.bounds.ratio * len(self._requests)
@@ -126,7 +131,10 @@
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
         _evict_before(self._requests, now_ms - self.bounds.window_ms)
-        _evict_before(self._sent, now_ms - self.bounds.held_ms)
+        held_from_ms = now_ms - self.bounds.held_ms
+        _evict_before(self._sent, held_from_ms)
+        while self._levels and self._levels[0][0] < held_from_ms:
+            self._levels.popleft()
 
     def find_denial(
         self, share: float, is_hedge: bool = False
@@ -158,7 +166,14 @@
     def record_sent(self, attempt: ExtraAttempt) -> None:
         """Counts an extra attempt as sent now."""
         self._unsent.discard(attempt)
-        self._sent.append(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._sent.append(now_ms)
+        # The request of the attempt counts as one since then.
+        level = self._level - self.bounds.ratio
+        while self._levels and self._levels[-1][1] <= level:
+            self._levels.pop()
+        self._levels.append((now_ms, level))
+        self._level -= 1.0
 
     def refund(self, attempt: ExtraAttempt) -> None:
         """Refunds an extra attempt that was taken but not sent."""
