Don't let a dead server of two keep a host stranded

Callers: none reported it; found by a review, by reading. In a deployment with two registered servers, one of them dead but still registered, a host that had lost its links stayed stranded until the dead one left the store. Stranded hosts refuse the requests of other hosts, so that callers of hosts that were really cut off could get 503 though a server could be reached.

Cause: two servers must be reached before links count as back, and the cap for small deployments counted all registered servers, also the dead one.

Ruled out: the finding said that the host's own requests then take detours. They don't: 20 s after its server was back, the host was stranded, but neither that server was out of reach nor its service cut off. Weighed and not taken: a cap by the servers that were reached before the loss (it weakens the check where links fail one after the other, and misses a server that dies in the cut), and one server of three (a connection that outlives a refusing cut would do).

Change: half of the registered servers, rounded up, are enough where that is fewer than two; nothing changes for three and more.

Test: test_dead_server_of_two_does_not_keep_a_host_stranded failed in each of its 4 cases on the old code (the server silent or refusing, dead before the cut or in it), passes now. test_one_server_of_many_does_not_mean_that_ links_are_back passed before as well and guards the usual threshold.

Conclusion: shown and mended for two servers.

--- a/packages/gateway/cowslipvalve_gateway/_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverlinks.py
@@ -266,7 +266,9 @@
             not link.is_unreached and link.reached_ms > self._lost_ms
             for link in self._links
         )
-        if reached < min(_MIN_REACHED, max(1, len(self._links))):
+        # Others may be dead, though they are still registered.
+        half = math.ceil(len(self._links) / 2)
+        if reached < min(_MIN_REACHED, max(1, half)):
             return
         self.is_stranded = False
         self.restored_ms = now_ms
--- a/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_serverlinks.py
@@ -1,5 +1,6 @@
 """Tests of what counts as lost links, on a manual clock."""
 
+import itertools
 import unittest
 from collections.abc import Callable, Iterable
 
@@ -225,6 +226,37 @@
                 network.is_cut_off(service), "vaasa" not in domains
             )
 
+    def test_dead_server_of_two_does_not_keep_a_host_stranded(self) -> None:
+        # Each case: whether the server's address refuses connections, rather
+        # than being silent, and whether the server dies before the cut.
+        for is_refused, is_early in itertools.product((False, True), repeat=2):
+            with self.subTest(is_refused=is_refused, is_early=is_early):
+                network = linknetworks.LinkNetwork(_DOMAINS[:2], 1)
+                network.play(1_000.0, is_idle=True)
+                dead, alive = network.views
+                dying = network.refusing if is_refused else network.hanging
+                if is_early:
+                    dying.add(dead)
+                    network.play(2_000.0, is_idle=True)
+                    self.assertFalse(network.links.is_stranded)
+                network.hanging.update((dead, alive))
+                network.play(2_000.0, is_idle=True)
+                self.assertTrue(network.links.is_stranded)
+                network.hanging.clear()
+                dying.add(dead)
+                network.play(2 * _HEALING_MS, is_idle=True)
+                self.assertFalse(alive.link.is_unreached)
+                self.assertFalse(network.links.is_stranded)
+
+    def test_one_server_of_many_does_not_mean_that_links_are_back(self) -> None:
+        network = linknetworks.create_network()
+        network.hanging.update(network.views)
+        network.play(2_000.0)
+        network.hanging.discard(network.views[0])
+        network.play(5_000.0)
+        self.assertFalse(network.views[0].link.is_unreached)
+        self.assertTrue(network.links.is_stranded)
+
     def test_failures_while_stranded_are_not_held_against_servers(
         self,
     ) -> None:
