--- a/packages/gateway/cowslipvalve_gateway/_admissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_admissions.py
@@ -42,7 +42,9 @@
         views = context.selector.find_usable(route, service)
         if _servicewaits.is_cut_off(context, route, service):
             if has_helper is None:
-                has_helper = bool(context.detours.find_helpers(route))
+                has_helper = any(
+                    True for _ in context.detours.find_helpers(route)
+                )
             if not has_helper:
                 continue
         pause_ms = context.selector.find_pause_ms(route, service)
--- a/packages/gateway/cowslipvalve_gateway/_detours.py
+++ b/packages/gateway/cowslipvalve_gateway/_detours.py
@@ -1,7 +1,7 @@
 """Choice of the hosts through which a stranded host reaches servers."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
@@ -9,8 +9,10 @@
 from cowslipvalve_gateway import _hostrefusals
 from cowslipvalve_gateway import _resources
 
-# Each further one costs the caller time.
+# Each further one that fails costs the caller time.
 _MAX_HELPERS = 3
+# With those that refuse, which costs a round trip.
+_MAX_ASKED = 8
 # A host that is stranded too is asked again after these times.
 _FIRST_REFUSAL_MS = 1_000.0
 _MAX_REFUSAL_MS = 8_000.0
@@ -41,10 +43,12 @@
 
     def find_helpers(
         self, route: _resources.Route, excluded: Collection[str] = ()
-    ) -> tuple[_resources.HostRecord, ...]:
-        """Returns the hosts to ask one after the other, none if there are none.
+    ) -> Iterator[_resources.HostRecord]:
+        """Yields the hosts to ask one after the other, none if there are none.
 
-        Near hosts come first. Each is of another domain than those before it
+        A host whose refusal is recorded before the next one is asked for takes
+        no other's place, as many hosts may be stranded together. Near hosts
+        come first. Each is of another domain than those before it
         and those asked already if possible, as a whole domain may be stranded.
 
         Args:
@@ -61,16 +65,17 @@
         candidates.sort(key=self._rank)
         hosts = self._catalog.hosts
         domains = {hosts[name].domain for name in excluded if name in hosts}
-        chosen: list[_resources.HostRecord] = []
-        while candidates and len(chosen) < _MAX_HELPERS:
+        asked = taken = 0
+        while candidates and taken < _MAX_HELPERS and asked < _MAX_ASKED:
             best = next(
                 (host for host in candidates if host.domain not in domains),
                 candidates[0],
             )
             candidates.remove(best)
-            chosen.append(best)
             domains.add(best.domain)
-        return tuple(chosen)
+            yield best
+            asked += 1
+            taken += not self.is_refusing(best.name)
 
     def is_refusing(self, host: str) -> bool:
         """Whether a host has recently refused to ask servers."""
--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Collection
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -160,8 +161,8 @@
         )
         self._ask_further(cut_off, not self._is_detour and not self._was_sent)
 
-    def _find_hosts(self) -> list[_resources.HostRecord]:
-        """Returns the hosts to ask, in order."""
+    def _find_hosts(self) -> Iterator[_resources.HostRecord]:
+        """Yields the hosts to ask, in order."""
         context = self._context
         hosts = {
             host.name: host
@@ -169,11 +170,14 @@
             if not context.host_health.is_suspect(host.name)
             and not context.detours.is_refusing(host.name)
         }
-        if self._is_detour:
-            hosts.pop(context.own_name, None)
-            helpers = context.detours.find_helpers(self._route, self._excluded)
-            hosts.update((helper.name, helper) for helper in helpers)
-        return list(hosts.values())
+        if not self._is_detour:
+            yield from hosts.values()
+            return
+        hosts.pop(context.own_name, None)
+        yield from hosts.values()
+        for helper in context.detours.find_helpers(self._route, self._excluded):
+            if helper.name not in hosts:
+                yield helper
 
     async def _try_to_ask(self, host: _resources.HostRecord) -> bool:
         """Asks a host; returns whether it did what it was asked for."""
--- a/packages/gateway/cowslipvalve_gateway/tests/test_helperchoice.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_helperchoice.py
@@ -70,7 +70,10 @@
             )
 
     def test_helpers_share_the_load(self) -> None:
-        firsts = {self.detours.find_helpers(_ROUTE)[0].name for _ in range(100)}
+        firsts = {
+            next(iter(self.detours.find_helpers(_ROUTE))).name
+            for _ in range(100)
+        }
         self.assertEqual(firsts, {"near-1", "near-2"})
 
     def test_domains_asked_already_come_last(self) -> None:
@@ -104,6 +107,29 @@
             self.assertIn("near-1", self.find_all_names())
             pause_ms = min(_LONGEST_PAUSE_MS, 2 * pause_ms)
 
+    def test_hosts_that_refuse_take_no_place_of_other_helpers(self) -> None:
+        for reason in gateway.HostRefusalReason:
+            with self.subTest(reason):
+                self.setUp()
+                names = []
+                for helper in self.detours.find_helpers(_ROUTE):
+                    names.append(helper.name)
+                    self.detours.record_refusal(helper.name, reason)
+                self.assertEqual(
+                    set(names), {host.name for host in _HOSTS} - {"own"}
+                )
+
+    def test_refusals_of_many_hosts_end_the_search(self) -> None:
+        hosts = [_create_host(f"h{n}", "kuopio") for n in range(30)]
+        self.catalog.set_hosts({host.name: host for host in hosts})
+        asked = 0
+        for helper in self.detours.find_helpers(_ROUTE):
+            asked += 1
+            self.detours.record_refusal(
+                helper.name, gateway.HostRefusalReason.STRANDED
+            )
+        self.assertLessEqual(asked, 8)
+
     def test_busy_host_is_asked_again_soon(self) -> None:
         self.detours.record_refusal("near-1", gateway.HostRefusalReason.BUSY)
         self.assertNotIn("near-1", self.find_all_names())
