Pace cold servers by shares over time

What callers saw: no report. Users' rule: all hosts together send a cold server at most its rate x 1.5 + 5 requests in a second. Shown without a network, on a manual clock, by hosts that send whatever they may.

Cause: a host's part of the rate rested on the hosts that it knew now. A host that starts and knows only itself used the whole rate; hosts that left and still finished their callers' requests kept their part while the others already took it. Besides, a host waited for a period, so that a larger part ended the wait of many hosts at once.

Ruled out: hosts that are killed and started at once, or replaced one by one, keep the rule on the code before too (10 of 11, 12 of 17, 53 of 65 at most). So do eight hosts that start together if they learn of the server as late as of each other (44 of 65 at most); the figures of starts below are of hosts that know the server 300 ms after the start and each other up to 2.9 s later.

Change: the share is the least one of the last 4 s. Unlike with the slack of budgets a starting host has a share at once, as all servers may be cold after a power loss; for 4 s it counts eight hosts at least. A host that is alone thus uses an eighth of the rate for its first 4 s. Requests are earned with time in place of a period. `retain_servers` and `set_hosts` are only shortened.

After a start eight hosts send 8 requests in the first period, as a steady deployment does.

A third of 120 hosts that leave at 80 a second did not show the fault; replaced by half at 40. A first form of the share of starting hosts multiplied two reductions: 1 to 4 requests in the first second at 8 a second in place of 8.

--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -8,6 +8,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _groupplans
+from cowslipvalve_gateway import _paceshares
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _serverlinks
@@ -74,6 +75,7 @@
         self.own_registered_ms = -math.inf
         self.shares_version = 0
         self.slack_shares = _slackshares.create_slack_shares(clock)
+        self._pace_shares = _paceshares.create_pace_shares(clock)
         self._completed = asyncio.Event()
 
     @property
@@ -122,7 +124,7 @@
         found = self.table.services.get(service) if self.table else None
         if found is None or not found.cold_rate:
             return math.inf
-        return found.cold_rate / self.count_sharers(service)
+        return found.cold_rate * self._pace_shares.find(service)
 
     async def wait_until_complete(self, timeout_ms: float) -> bool:
         """Waits until the catalog is complete; returns False on a timeout."""
@@ -162,10 +164,9 @@
     def set_hosts(self, hosts: dict[str, _resources.HostRecord]) -> None:
         """Replaces the hosts of the deployment."""
         old = self.host_count
-        is_changed = hosts != self.hosts
-        self.hosts = hosts
-        if not is_changed:
+        if hosts == self.hosts:
             return
+        self.hosts = hosts
         self._hosts_ms = self._clock.now_ms()
         base.log_event(_logger, "hosts", old=old, count=self.host_count)
         self._update_shares()
@@ -194,6 +195,9 @@
                 self.hosts,
             )
         self.slack_shares.replace(self._compute_slack_shares())
+        services = self.table.services if self.table else ()
+        shares = {s: 1.0 / self.count_sharers(s) for s in services}
+        self._pace_shares.replace(shares, self.host_count)
         for view in self._views.values():
             self._set_connection_limits(view)
 
@@ -264,9 +268,8 @@
           names: The names of all servers in a whole listing.
           grace_ms: As in drop_server.
         """
-        for name in list(self._views):
-            if name not in names:
-                self.drop_server(name, grace_ms)
+        for name in self._views.keys() - names:
+            self.drop_server(name, grace_ms)
         self.has_servers = True
         self._update_completeness()
 
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -18,6 +18,7 @@
 _HALF_LIFE_MS = 4_000.0
 _EJECT_FAILURE_RATE = 0.5  # Half of the recent attempts failed.
 _MS_PER_S = 1_000.0
+_TOLERANCE = 1e-9  # Covers rounding errors of sums of credits.
 _MIN_EJECT_MS = 1_000.0
 _MAX_EJECT_MS = 8_000.0
 
@@ -56,10 +57,12 @@
         # Whether another server answered at this server's address.
         self.is_misdirected = False
         self._cold_until_ms = clock.now_ms() + server.cold_ms
-        # Random, because servers that start together would otherwise get a
-        # burst of requests from all hosts.
-        self._cold_phase = random.random()
-        self._last_cold_sent_ms: float | None = None
+        # The part of a request to the cold server that this host has earned;
+        # None until the first check after the server became cold.
+        self._cold_credit: float | None = None
+        # The rate and the time of the last check.
+        self._cold_rate = 0.0
+        self._cold_checked_ms = 0.0
         # The tasks of attempts whose answers are no longer needed.
         self._superseded: list[asyncio.Task[None]] = []
 
@@ -110,18 +113,33 @@
             server is cold, infinite for no bound.
         """
         if math.isinf(cold_rate) or not self.is_cold:
+            self._cold_credit = None
             return True
-        if not cold_rate:
-            return False
-        period_ms = _MS_PER_S / cold_rate
-        if self._last_cold_sent_ms is None:
-            now_ms = self._clock.now_ms()
-            self._last_cold_sent_ms = now_ms - self._cold_phase * period_ms
-        return self._clock.now_ms() - self._last_cold_sent_ms >= period_ms
+        return self._earn_cold_credit(cold_rate) >= 1.0 - _TOLERANCE
+
+    def _earn_cold_credit(self, rate: float) -> float:
+        """Returns the credit for a cold server, at most one request.
+
+        It grows with time, at the lesser of the rates at the two checks: if all
+        hosts waited for a period, a larger rate would end it for many at once.
+        """
+        now_ms = self._clock.now_ms()
+        if self._cold_credit is None:
+            # Random, because servers that start together would otherwise get a
+            # burst of requests from all hosts.
+            self._cold_credit = random.random()
+        else:
+            earned_ms = now_ms - self._cold_checked_ms
+            earned = min(rate, self._cold_rate) * earned_ms / _MS_PER_S
+            self._cold_credit = min(1.0, self._cold_credit + earned)
+        self._cold_checked_ms = now_ms
+        self._cold_rate = rate
+        return self._cold_credit
 
     def record_send(self) -> None:
         """Records that a request is about to be sent."""
-        self._last_cold_sent_ms = self._clock.now_ms()
+        if self._cold_credit is not None:
+            self._cold_credit = 0.0
 
     def add_superseded(self, task: asyncio.Task[None]) -> None:
         """Adds an attempt that may be cancelled when a connection is needed.
--- a/packages/gateway/cowslipvalve_gateway/_slackshares.py
+++ b/packages/gateway/cowslipvalve_gateway/_slackshares.py
@@ -33,9 +33,11 @@
     started has none.
     """
 
-    def __init__(self, clock: base.Clock) -> None:
+    def __init__(
+        self, clock: base.Clock, by_service: Mapping[str, float] | None
+    ) -> None:
         self._clock = clock
-        self._current: Mapping[str, float] | None = None
+        self._current = by_service
         # In the order of their ends.
         self._past: list[_PastShares] = []
 
@@ -99,6 +101,13 @@
     }
 
 
-def create_slack_shares(clock: base.Clock) -> SlackShares:
-    """Creates the shares of a host that has just started."""
-    return SlackShares(clock)
+def create_slack_shares(
+    clock: base.Clock, by_service: Mapping[str, float] | None = None
+) -> SlackShares:
+    """Creates the shares of a host that has just started.
+
+    Args:
+      clock: The clock of the process.
+      by_service: The shares by service before the start; None if it had none.
+    """
+    return SlackShares(clock, by_service)
