Keep former shares while the budget's window is shorter

What callers saw: no report; found by reading in a review. After a reload that shortened the window and one that lengthened it again, a larger share of the slack counted too early.

Cause: `SlackShares.find` deleted what was older than the time that it was asked for, though a longer one may be asked for next.

Change: shares are kept for the longest time that was ever asked for.

The new test fails on the code before (0.2 != 0.1) and passes now. Run: test_slackshares, test_budgetsums, test_coldpaces, make check.

--- a/packages/gateway/cowslipvalve_gateway/_slackshares.py
+++ b/packages/gateway/cowslipvalve_gateway/_slackshares.py
@@ -40,6 +40,8 @@
         self._current = by_service
         # In the order of their ends.
         self._past: list[_PastShares] = []
+        # A time that was shortened may be lengthened again.
+        self._longest_hold_ms = 0.0
 
     def replace(self, by_service: Mapping[str, float] | None) -> None:
         """Replaces the shares that count from now on.
@@ -76,10 +78,12 @@
         return least if math.isfinite(least) else 0.0
 
     def _list_past(self, hold_ms: float) -> list[_PastShares]:
-        start_ms = self._clock.now_ms() - hold_ms
-        while self._past and self._past[0].end_ms < start_ms:
+        now_ms = self._clock.now_ms()
+        self._longest_hold_ms = max(self._longest_hold_ms, hold_ms)
+        kept_ms = now_ms - self._longest_hold_ms
+        while self._past and self._past[0].end_ms < kept_ms:
             del self._past[0]
-        return self._past
+        return [p for p in self._past if p.end_ms >= now_ms - hold_ms]
 
 
 def _find_share(by_service: Mapping[str, float] | None, service: str) -> float:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_slackshares.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_slackshares.py
@@ -85,6 +85,18 @@
             self.find()
         self.assertLess(len(self.shares._past), 100)
 
+    def test_shorter_time_meanwhile_forgets_no_share(self) -> None:
+        # As of a reload that shortens the window and one that restores it.
+        self.shares.replace({_SERVICE: 0.1})
+        self.clock.advance(_HOLD_MS + 1.0)
+        self.assertEqual(self.find(), 0.1)
+        self.shares.replace({_SERVICE: 0.2})
+        self.clock.advance(3_000.0)
+        self.assertEqual(self.shares.find(_SERVICE, 1_000.0), 0.2)
+        self.assertEqual(self.find(), 0.1)
+        self.clock.advance(_HOLD_MS)
+        self.assertEqual(self.find(), 0.2)
+
     def test_dip_ends_although_changes_go_on(self) -> None:
         self.shares.replace({_SERVICE: 0.1})
         for _ in range(2_000):
