Keep sent attempts while the budget's window is shorter

What callers saw: no report. After a reload that shortened the window and one that lengthened it again, extra attempts that were sent in the long window no longer counted, and a host could send as many again; an idle budget could be discarded with them.

Cause: `AttemptBudget` deleted sent attempts by the current window.

Change: they are kept for the longest window that the budget has had, and counted in the current one. Requests are still deleted by the current window, which only lets a host send less. A window that becomes longer than any before lacks what was deleted by then; not changed.

The new test fails on the code before: the budget is idle, and without that assertion (trial) nothing denies the attempt (None in place of USED_UP). It passes now.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -74,10 +74,12 @@
         self._requests: list[float] = []
         self._sent: list[float] = []
         self._unsent: set[ExtraAttempt] = set()
+        # A window that was shortened may be lengthened again.
+        self._longest_held_ms = bounds.held_ms
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request or extra attempt is in the current window."""
+        """Whether neither requests nor extra attempts count, or may again."""
         self._evict_expired()
         return not (self._requests or self._unsent or self._sent)
 
@@ -97,7 +99,9 @@
           share: This host's share of the slack, 0 to 1.
         """
         self._evict_expired()
-        whole = self._compute_allowance(share) - len(self._sent)
+        whole = self._compute_allowance(share) - self._count_sent(
+            self.bounds.held_ms
+        )
         parts = (self._compute_of_part(share, part) for part in _PARTS)
         return min(whole, *parts) - len(self._unsent)
 
@@ -111,11 +115,15 @@
         requests = len(self._requests) - bisect.bisect_left(
             self._requests, start_ms
         )
-        sent = len(self._sent) - bisect.bisect_left(self._sent, start_ms)
+        sent = self._count_sent(self.bounds.window_ms * part)
         allowance = self.bounds.ratio * requests + self._compute_slack(share)
         # Few requests at a host would else seldom earn a whole attempt.
         return math.ceil(allowance) - sent
 
+    def _count_sent(self, duration_ms: float) -> int:
+        start_ms = self._clock.now_ms() - duration_ms
+        return len(self._sent) - bisect.bisect_left(self._sent, start_ms)
+
     def _compute_allowance(self, share: float) -> float:
         earned = self.bounds.ratio * len(self._requests)
         return earned + self._compute_slack(share)
@@ -126,7 +134,8 @@
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
         _evict_before(self._requests, now_ms - self.bounds.window_ms)
-        _evict_before(self._sent, now_ms - self.bounds.held_ms)
+        self._longest_held_ms = max(self._longest_held_ms, self.bounds.held_ms)
+        _evict_before(self._sent, now_ms - self._longest_held_ms)
 
     def find_denial(
         self, share: float, is_hedge: bool = False
--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -345,6 +345,21 @@
                     worst = _Traffic(seed).run(change)
                     self.assertLessEqual(worst.extra, worst.allowed)
 
+    def test_shorter_window_meanwhile_forgets_no_sent_attempt(self) -> None:
+        clock = _clocks.create_manual_clock()
+        budget = gateway.create_attempt_budget(clock, _BOUNDS)
+        while budget.find_denial(1.0) is None:
+            budget.record_sent(budget.take())
+        budget.bounds = attrs.evolve(_BOUNDS, window_ms=2_000.0)
+        clock.advance(3_000.0)
+        self.assertIsNone(budget.find_denial(1.0))
+        self.assertFalse(budget.is_idle)
+        budget.bounds = _BOUNDS
+        self.assertEqual(budget.find_denial(1.0), gateway.Denial.USED_UP)
+        clock.advance(_BOUNDS.held_ms)
+        self.assertIsNone(budget.find_denial(1.0))
+        self.assertTrue(budget.is_idle)
+
     def test_few_requests_at_a_host_earn_whole_attempts(self) -> None:
         # As many as a window allows, though its parts allow none by themselves.
         clock = _clocks.create_manual_clock()
