--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -80,10 +80,12 @@
         self._levels: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
+        # A window that was shortened may be lengthened again.
+        self._longest_held_ms = bounds.held_ms
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request or extra attempt is in the current window."""
+        """Whether neither requests nor extra attempts count, or may again."""
         self._evict_expired()
         return not (self._requests or self._unsent or self._sent)
 
@@ -105,7 +107,8 @@
           share: This host's share of the slack, 0 to 1.
         """
         self._evict_expired()
-        whole = self._compute_allowance(share) - len(self._sent)
+        sent = self._count_sent(self.bounds.held_ms)
+        whole = self._compute_allowance(share) - sent
         since = self._compute_since(self._compute_slack(share))
         return min(whole, since) - len(self._unsent)
 
@@ -121,6 +124,10 @@
         # Few requests at a host would else seldom earn a whole attempt.
         return math.ceil(slack + self._level - greatest)
 
+    def _count_sent(self, duration_ms: float) -> int:
+        start_ms = self._clock.now_ms() - duration_ms
+        return len(self._sent) - bisect.bisect_left(self._sent, start_ms)
+
     def _compute_allowance(self, share: float) -> float:
         earned = self.bounds.ratio * len(self._requests)
         return earned + self._compute_slack(share)
@@ -131,9 +138,10 @@
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
         _evict_before(self._requests, now_ms - self.bounds.window_ms)
-        held_from_ms = now_ms - self.bounds.held_ms
-        _evict_before(self._sent, held_from_ms)
-        while self._levels and self._levels[0][0] < held_from_ms:
+        self._longest_held_ms = max(self._longest_held_ms, self.bounds.held_ms)
+        _evict_before(self._sent, now_ms - self._longest_held_ms)
+        start_ms = now_ms - self.bounds.held_ms
+        while self._levels and self._levels[0][0] < start_ms:
             self._levels.popleft()
 
     def find_denial(
--- a/packages/gateway/cowslipvalve_gateway/_slackshares.py
+++ b/packages/gateway/cowslipvalve_gateway/_slackshares.py
@@ -33,11 +33,15 @@
     started has none.
     """
 
-    def __init__(self, clock: base.Clock) -> None:
+    def __init__(
+        self, clock: base.Clock, by_service: Mapping[str, float] | None
+    ) -> None:
         self._clock = clock
-        self._current: Mapping[str, float] | None = None
+        self._current = by_service
         # In the order of their ends.
         self._past: list[_PastShares] = []
+        # A time that was shortened may be lengthened again.
+        self._longest_hold_ms = 0.0
 
     def replace(self, by_service: Mapping[str, float] | None) -> None:
         """Replaces the shares that count from now on.
@@ -74,10 +78,12 @@
         return least if math.isfinite(least) else 0.0
 
     def _list_past(self, hold_ms: float) -> list[_PastShares]:
-        start_ms = self._clock.now_ms() - hold_ms
-        while self._past and self._past[0].end_ms < start_ms:
+        now_ms = self._clock.now_ms()
+        self._longest_hold_ms = max(self._longest_hold_ms, hold_ms)
+        kept_ms = now_ms - self._longest_hold_ms
+        while self._past and self._past[0].end_ms < kept_ms:
             del self._past[0]
-        return self._past
+        return [p for p in self._past if p.end_ms >= now_ms - hold_ms]
 
 
 def _find_share(by_service: Mapping[str, float] | None, service: str) -> float:
@@ -99,6 +105,13 @@
     }
 
 
-def create_slack_shares(clock: base.Clock) -> SlackShares:
-    """Creates the shares of a host that has just started."""
-    return SlackShares(clock)
+def create_slack_shares(
+    clock: base.Clock, by_service: Mapping[str, float] | None = None
+) -> SlackShares:
+    """Creates the shares of a host that has just started.
+
+    Args:
+      clock: The clock of the process.
+      by_service: The shares by service before the start; None if it had none.
+    """
+    return SlackShares(clock, by_service)
