--- a/packages/gateway/cowslipvalve_gateway/_paceshares.py
+++ b/packages/gateway/cowslipvalve_gateway/_paceshares.py
@@ -8,8 +8,8 @@
 # The second in which a cold server's requests count, and the 3 s in which hosts
 # learn of each other.
 _HOLD_MS = 4_000.0
-# How many hosts a host that has just started counts at least, because it may not
-# know yet those that start with it.
+# The fewest hosts that a host counts after its start, when it may not know yet
+# those that start with it.
 _MIN_START_HOSTS = 8
 
 
