Let LoopLag say how long a request waited unread

The handlers of group requests and of relayed requests each had the bound of the lag that they subtract from a request's remaining time, and the subtraction.

After it pass the tests that hosts hand servers no time that has passed (2), LoopLagTest (1) and test_detourhelpers (6).

--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -15,8 +15,6 @@
 from cowslipvalve_gateway import _relayadmissions
 
 _HTTP_BAD_REQUEST = 400
-# The event loop may have caught up since its lag was measured.
-_MAX_LAG_SHARE = 0.5
 _LINE_END = b"\n"
 
 _logger = logging.getLogger(__name__)
@@ -89,11 +87,8 @@
     def _subtract_lag(
         self, message: _groupmessages.GroupRequest
     ) -> _groupmessages.GroupRequest:
-        """Returns the message without the time that it waited unread.
-
-        Servers must not be given time that has already passed.
-        """
-        lag_ms = min(self._lag.recent_ms, message.remaining_ms * _MAX_LAG_SHARE)
+        """Returns the message without the time that it waited unread."""
+        lag_ms = self._lag.compute_wait_ms(message.remaining_ms)
         return attrs.evolve(
             message,
             remaining_ms=message.remaining_ms - lag_ms,
--- a/packages/gateway/cowslipvalve_gateway/_looplags.py
+++ b/packages/gateway/cowslipvalve_gateway/_looplags.py
@@ -10,6 +10,8 @@
 # A fan-out over 100 shards takes this long on half a core.
 _SAMPLE_PERIOD_MS = 100.0
 _MAX_SAMPLES = 10
+# The event loop may have caught up since its lag was measured.
+_MAX_LAG_SHARE = 0.5
 
 
 class LoopLag(mode.Service):
@@ -36,6 +38,16 @@
         present_ms = max(0.0, self._clock.now_ms() - self._due_ms)
         return max((present_ms, *self._samples_ms))
 
+    def compute_wait_ms(self, remaining_ms: float) -> float:
+        """Returns how long a request that has just been read waited unread.
+
+        Servers must not be given time that has already passed.
+
+        Args:
+          remaining_ms: The time that the request had left when it was sent.
+        """
+        return min(self.recent_ms, remaining_ms * _MAX_LAG_SHARE)
+
     @mode.Service.task
     @_restarts.restart_on_error
     async def _measure(self) -> None:
--- a/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -17,8 +17,6 @@
 from cowslipvalve_gateway import _singleoutcomes
 
 _HTTP_BAD_REQUEST = 400
-# The event loop may have caught up since its lag was measured.
-_MAX_LAG_SHARE = 0.5
 _LINE_END = b"\n"
 # The other host waits twice this time before it replaces this host.
 PROGRESS_INTERVAL_MS = 30.0
@@ -70,8 +68,9 @@
             message = base.decode(
                 _relaymessages.RelayRequest, await request.read()
             )
+            lag_ms = self._lag.compute_wait_ms(message.remaining_ms)
             caller_request = message.request.to_caller_request(
-                received_ms, self._subtract_lag(message.remaining_ms)
+                received_ms, message.remaining_ms - lag_ms
             )
         except base.InputError as error:
             base.log_event(
@@ -80,11 +79,6 @@
             return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
         return await self._respond(request, message, caller_request)
 
-    def _subtract_lag(self, remaining_ms: float) -> float:
-        """Returns a remaining time less the time that it waited unread."""
-        lag_ms = min(self._lag.recent_ms, remaining_ms * _MAX_LAG_SHARE)
-        return remaining_ms - lag_ms
-
     async def _respond(
         self,
         request: web.BaseRequest,
