Bound extra attempts since each one that a host sent, as described

Change: since each extra attempt that it sent, and since the oldest one that is still to be sent, a host keeps to the ratio of the requests since then and its share of the slack, rounded up. The attempts from which the bound may follow are kept in order, so that a decision reads one of them; a reload of the ratio sorts them anew. What a window allows as a whole is as before.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -4,6 +4,7 @@
 """
 
 import bisect
+import collections
 import enum
 import math
 
@@ -16,8 +17,6 @@
 # The rest covers callers' requests that move from one host to another within a
 # window, and hosts that join while others are cut off and count without them.
 _USABLE_SLACK_SHARE = 0.8
-# The parts of the window in which a host keeps to the bounds by itself.
-_PARTS = (0.25, 0.5, 0.75)
 # A packet that is lost once arrives that much later than it was sent.
 _ARRIVAL_MARGIN_MS = 500.0
 
@@ -57,23 +56,54 @@
     taken_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class _SentAttempt:
+    """An extra attempt that was sent, with the counts at that time."""
+
+    sent_ms: float
+    # The extra attempts that this host ever sent before it.
+    attempts: int
+    # The requests that this host ever counted before it.
+    requests: int
+
+    def compute_lead(self, ratio: float) -> float:
+        """Returns how far attempts were ahead of what requests had earned."""
+        return self.attempts - ratio * self.requests
+
+
 class AttemptBudget:
     """Counts the requests and the extra attempts of one service.
 
     Every host counts its own requests and uses its share of the slack, so
     that all hosts together stay within the bounds without communicating.
-
-    Attributes:
-      bounds: The bounds, which can be replaced at run time.
     """
 
     def __init__(self, clock: base.Clock, bounds: BudgetBounds) -> None:
         self._clock = clock
-        self.bounds = bounds
-        # The times of requests and of sent extra attempts, in order.
+        self._bounds = bounds
+        # In order: the times of requests, and the extra attempts.
         self._requests: list[float] = []
-        self._sent: list[float] = []
-        self._unsent: set[ExtraAttempt] = set()
+        self._sent: list[_SentAttempt] = []
+        self._unsent: dict[ExtraAttempt, None] = {}
+        # How many there ever were.
+        self._request_count = 0
+        self._sent_count = 0
+        # The sent attempts with a lower lead than all later ones, in order, so
+        # that a decision does not have to read all attempts of the window.
+        self._lowest: collections.deque[_SentAttempt] = collections.deque()
+
+    @property
+    def bounds(self) -> BudgetBounds:
+        """The bounds, which can be replaced at run time."""
+        return self._bounds
+
+    @bounds.setter
+    def bounds(self, bounds: BudgetBounds) -> None:
+        self._bounds = bounds
+        # The order of leads depends on the ratio.
+        self._lowest.clear()
+        for attempt in self._sent:
+            self._add_lead(attempt)
 
     @property
     def is_idle(self) -> bool:
@@ -84,11 +114,13 @@
     def add_request(self) -> None:
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
+        self._request_count += 1
 
     def withdraw_request(self) -> None:
         """Withdraws a counted request that another host is to send."""
         if self._requests:
             self._requests.pop()
+            self._request_count -= 1
 
     def compute_remaining(self, share: float) -> float:
         """Returns how many more extra attempts this window allows.
@@ -98,35 +130,56 @@
         """
         self._evict_expired()
         whole = self._compute_allowance(share) - len(self._sent)
-        parts = (self._compute_of_part(share, part) for part in _PARTS)
-        return min(whole, *parts) - len(self._unsent)
-
-    def _compute_of_part(self, share: float, part: float) -> float:
-        """Returns what the last part of the window allows, less what was sent.
-
-        Else callers that move from one host to another would earn extra
-        attempts at both in the same window.
+        later = min(self._compute_since_sent(), self._compute_since_taken())
+        if later < math.inf:
+            # Few requests at a host would else seldom earn a whole attempt.
+            whole = min(whole, math.ceil(later + self._compute_slack(share)))
+        return whole - len(self._unsent)
+
+    def _compute_since_sent(self) -> float:
+        """Returns what requests earned since an attempt, less what was sent.
+
+        It is the least value for any sent attempt of the window. Else callers
+        that move from one host to another, or change their load, would earn
+        extra attempts at both in the same window.
         """
-        start_ms = self._clock.now_ms() - self.bounds.window_ms * part
-        requests = len(self._requests) - bisect.bisect_left(
-            self._requests, start_ms
+        if not self._lowest:
+            return math.inf
+        ratio = self._bounds.ratio
+        lead = self._sent_count - ratio * self._request_count
+        return self._lowest[0].compute_lead(ratio) - lead
+
+    def _compute_since_taken(self) -> float:
+        """Returns the same since the oldest attempt that is not sent yet."""
+        if not self._unsent:
+            return math.inf
+        taken_ms = next(iter(self._unsent)).taken_ms
+        sent = len(self._sent) - bisect.bisect_left(
+            self._sent, taken_ms, key=_get_sent_ms
         )
-        sent = len(self._sent) - bisect.bisect_left(self._sent, start_ms)
-        allowance = self.bounds.ratio * requests + self._compute_slack(share)
-        # Few requests at a host would else seldom earn a whole attempt.
-        return math.ceil(allowance) - sent
+        return self._bounds.ratio * self._count_requests(taken_ms) - sent
+
+    def _count_requests(self, start_ms: float) -> int:
+        """Returns how many requests there were since a time."""
+        first = bisect.bisect_left(self._requests, start_ms)
+        return len(self._requests) - first
 
     def _compute_allowance(self, share: float) -> float:
-        earned = self.bounds.ratio * len(self._requests)
+        earned = self._bounds.ratio * len(self._requests)
         return earned + self._compute_slack(share)
 
     def _compute_slack(self, share: float) -> float:
-        return self.bounds.slack * _USABLE_SLACK_SHARE * share
+        return self._bounds.slack * _USABLE_SLACK_SHARE * share
 
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        _evict_before(self._requests, now_ms - self.bounds.window_ms)
-        _evict_before(self._sent, now_ms - self.bounds.held_ms)
+        start_ms = now_ms - self._bounds.window_ms
+        del self._requests[: bisect.bisect_left(self._requests, start_ms)]
+        held_ms = now_ms - self._bounds.held_ms
+        expired = bisect.bisect_left(self._sent, held_ms, key=_get_sent_ms)
+        del self._sent[:expired]
+        while self._lowest and self._lowest[0].sent_ms < held_ms:
+            self._lowest.popleft()
 
     def find_denial(
         self, share: float, is_hedge: bool = False
@@ -152,21 +205,36 @@
         Only to be called if there is no denial.
         """
         attempt = ExtraAttempt(taken_ms=self._clock.now_ms())
-        self._unsent.add(attempt)
+        self._unsent[attempt] = None
         return attempt
 
     def record_sent(self, attempt: ExtraAttempt) -> None:
         """Counts an extra attempt as sent now."""
-        self._unsent.discard(attempt)
-        self._sent.append(self._clock.now_ms())
+        self._unsent.pop(attempt, None)
+        now_ms = self._clock.now_ms()
+        sent = _SentAttempt(
+            sent_ms=now_ms,
+            attempts=self._sent_count,
+            requests=self._request_count - self._count_requests(now_ms),
+        )
+        self._sent.append(sent)
+        self._sent_count += 1
+        self._add_lead(sent)
 
     def refund(self, attempt: ExtraAttempt) -> None:
         """Refunds an extra attempt that was taken but not sent."""
-        self._unsent.discard(attempt)
+        self._unsent.pop(attempt, None)
+
+    def _add_lead(self, attempt: _SentAttempt) -> None:
+        ratio = self._bounds.ratio
+        lead = attempt.compute_lead(ratio)
+        while self._lowest and self._lowest[-1].compute_lead(ratio) >= lead:
+            self._lowest.pop()
+        self._lowest.append(attempt)
 
 
-def _evict_before(times_ms: list[float], start_ms: float) -> None:
-    del times_ms[: bisect.bisect_left(times_ms, start_ms)]
+def _get_sent_ms(attempt: _SentAttempt) -> float:
+    return attempt.sent_ms
 
 
 def create_attempt_budget(
