--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -56,33 +56,58 @@
     taken_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class _SentAttempt:
+    """An extra attempt that was sent, with the counts at that time."""
+
+    sent_ms: float
+    # The extra attempts that this host ever sent before it.
+    attempts: int
+    # The requests that this host ever counted before it.
+    requests: int
+
+    def compute_lead(self, ratio: float) -> float:
+        """Returns how far attempts were ahead of what requests had earned."""
+        return self.attempts - ratio * self.requests
+
+
 class AttemptBudget:
     """Counts the requests and the extra attempts of one service.
 
     Every host counts its own requests and uses its share of the slack, so
     that all hosts together stay within the bounds without communicating.
-
-    Attributes:
-      bounds: The bounds, which can be replaced at run time.
     """
 
     def __init__(self, clock: base.Clock, bounds: BudgetBounds) -> None:
         self._clock = clock
-        self.bounds = bounds
-        # The times of requests and of sent extra attempts, in order.
+        self._bounds = bounds
+        # In order: the times of requests, and the extra attempts.
         self._requests: list[float] = []
-        self._sent: list[float] = []
-        self._unsent: set[ExtraAttempt] = set()
-        # The extra attempts that requests have earned, less those sent.
-        self._level = 0.0
-        # The times of sent extra attempts and the levels before them, without
-        # those that a later and greater level makes irrelevant.
-        self._levels: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
+        self._sent: list[_SentAttempt] = []
+        self._unsent: dict[ExtraAttempt, None] = {}
+        # How many there ever were.
+        self._request_count = 0
+        self._sent_count = 0
+        # The sent attempts with a lower lead than all later ones, in order, so
+        # that a decision does not have to read all attempts of the window.
+        self._lowest: collections.deque[_SentAttempt] = collections.deque()
         # A window that was shortened may be lengthened again.
         self._longest_held_ms = bounds.held_ms
 
+    @property
+    def bounds(self) -> BudgetBounds:
+        """The bounds, which can be replaced at run time."""
+        return self._bounds
+
+    @bounds.setter
+    def bounds(self, bounds: BudgetBounds) -> None:
+        self._bounds = bounds
+        self._longest_held_ms = max(self._longest_held_ms, bounds.held_ms)
+        # The order of leads depends on the ratio.
+        self._lowest.clear()
+        for attempt in self._sent:
+            self._add_lead(attempt)
+
     @property
     def is_idle(self) -> bool:
         """Whether neither requests nor extra attempts count, or may again."""
@@ -92,13 +117,13 @@
     def add_request(self) -> None:
         """Counts a caller's request."""
         self._requests.append(self._clock.now_ms())
-        self._level += self.bounds.ratio
+        self._request_count += 1
 
     def withdraw_request(self) -> None:
         """Withdraws a counted request that another host is to send."""
         if self._requests:
             self._requests.pop()
-            self._level -= self.bounds.ratio
+            self._request_count -= 1
 
     def compute_remaining(self, share: float) -> float:
         """Returns how many more extra attempts this window allows.
@@ -107,42 +132,63 @@
           share: This host's share of the slack, 0 to 1.
         """
         self._evict_expired()
-        sent = self._count_sent(self.bounds.held_ms)
-        whole = self._compute_allowance(share) - sent
-        since = self._compute_since(self._compute_slack(share))
-        return min(whole, since) - len(self._unsent)
-
-    def _compute_since(self, slack: float) -> float:
-        """Returns the least that is left since any extra attempt of the window.
-
-        Requests before that attempt count for the whole window only, because
-        callers that moved to another host since earn extra attempts there.
+        held_from_ms = self._clock.now_ms() - self._bounds.held_ms
+        whole = self._compute_allowance(share) - self._count_sent(held_from_ms)
+        later = min(self._compute_since_sent(), self._compute_since_taken())
+        if later < math.inf:
+            # Few requests at a host would else seldom earn a whole attempt.
+            whole = min(whole, math.ceil(later + self._compute_slack(share)))
+        return whole - len(self._unsent)
+
+    def _compute_since_sent(self) -> float:
+        """Returns what requests earned since an attempt, less what was sent.
+
+        It is the least value for any sent attempt of the window. Else callers
+        that move from one host to another, or change their load, would earn
+        extra attempts at both in the same window.
         """
-        if not self._levels:
+        if not self._lowest:
+            return math.inf
+        ratio = self._bounds.ratio
+        lead = self._sent_count - ratio * self._request_count
+        return self._lowest[0].compute_lead(ratio) - lead
+
+    def _compute_since_taken(self) -> float:
+        """Returns the same since the oldest attempt that is not sent yet."""
+        if not self._unsent:
             return math.inf
-        _, greatest = self._levels[0]
-        # Few requests at a host would else seldom earn a whole attempt.
-        return math.ceil(slack + self._level - greatest)
+        taken_ms = next(iter(self._unsent)).taken_ms
+        earned = self._bounds.ratio * self._count_requests(taken_ms)
+        return earned - self._count_sent(taken_ms)
+
+    def _count_requests(self, start_ms: float) -> int:
+        """Returns how many requests there were since a time."""
+        first = bisect.bisect_left(self._requests, start_ms)
+        return len(self._requests) - first
 
-    def _count_sent(self, duration_ms: float) -> int:
-        start_ms = self._clock.now_ms() - duration_ms
-        return len(self._sent) - bisect.bisect_left(self._sent, start_ms)
+    def _count_sent(self, start_ms: float) -> int:
+        """Returns how many extra attempts were sent since a time."""
+        first = bisect.bisect_left(self._sent, start_ms, key=_get_sent_ms)
+        return len(self._sent) - first
 
     def _compute_allowance(self, share: float) -> float:
-        earned = self.bounds.ratio * len(self._requests)
+        earned = self._bounds.ratio * len(self._requests)
         return earned + self._compute_slack(share)
 
     def _compute_slack(self, share: float) -> float:
-        return self.bounds.slack * _USABLE_SLACK_SHARE * share
+        return self._bounds.slack * _USABLE_SLACK_SHARE * share
 
     def _evict_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        _evict_before(self._requests, now_ms - self.bounds.window_ms)
-        self._longest_held_ms = max(self._longest_held_ms, self.bounds.held_ms)
-        _evict_before(self._sent, now_ms - self._longest_held_ms)
-        start_ms = now_ms - self.bounds.held_ms
-        while self._levels and self._levels[0][0] < start_ms:
-            self._levels.popleft()
+        start_ms = now_ms - self._bounds.window_ms
+        del self._requests[: bisect.bisect_left(self._requests, start_ms)]
+        kept_ms = now_ms - self._longest_held_ms
+        del self._sent[
+            : bisect.bisect_left(self._sent, kept_ms, key=_get_sent_ms)
+        ]
+        held_ms = now_ms - self._bounds.held_ms
+        while self._lowest and self._lowest[0].sent_ms < held_ms:
+            self._lowest.popleft()
 
     def find_denial(
         self, share: float, is_hedge: bool = False
@@ -168,28 +214,36 @@
         Only to be called if there is no denial.
         """
         attempt = ExtraAttempt(taken_ms=self._clock.now_ms())
-        self._unsent.add(attempt)
+        self._unsent[attempt] = None
         return attempt
 
     def record_sent(self, attempt: ExtraAttempt) -> None:
         """Counts an extra attempt as sent now."""
-        self._unsent.discard(attempt)
+        self._unsent.pop(attempt, None)
         now_ms = self._clock.now_ms()
-        self._sent.append(now_ms)
-        # The request of the attempt counts as one since then.
-        level = self._level - self.bounds.ratio
-        while self._levels and self._levels[-1][1] <= level:
-            self._levels.pop()
-        self._levels.append((now_ms, level))
-        self._level -= 1.0
+        sent = _SentAttempt(
+            sent_ms=now_ms,
+            attempts=self._sent_count,
+            requests=self._request_count - self._count_requests(now_ms),
+        )
+        self._sent.append(sent)
+        self._sent_count += 1
+        self._add_lead(sent)
 
     def refund(self, attempt: ExtraAttempt) -> None:
         """Refunds an extra attempt that was taken but not sent."""
-        self._unsent.discard(attempt)
+        self._unsent.pop(attempt, None)
+
+    def _add_lead(self, attempt: _SentAttempt) -> None:
+        ratio = self._bounds.ratio
+        lead = attempt.compute_lead(ratio)
+        while self._lowest and self._lowest[-1].compute_lead(ratio) >= lead:
+            self._lowest.pop()
+        self._lowest.append(attempt)
 
 
-def _evict_before(times_ms: list[float], start_ms: float) -> None:
-    del times_ms[: bisect.bisect_left(times_ms, start_ms)]
+def _get_sent_ms(attempt: _SentAttempt) -> float:
+    return attempt.sent_ms
 
 
 def create_attempt_budget(
