Believe the end of registrations while other hosts reach the store

Cause, from all hosts' logs: front-kuopio-2 had lost the store from 2.56 s to 12.07 s (platform_down for three nodes), while other hosts reached it and passed their state on. As it regained the store it started a grace period for registrations that may have lapsed in an outage, and passed it on to the hosts that follow it. A server whose registration had ended at 10.34 s was used until 14.06 s.

Change: a host that regains the store starts no grace period if other hosts reached the store for the greater part of its loss and within the last 2 s. Servers could renew their registrations then. Outages of all hosts, also after a loss of this host alone, give the grace period as before.

--- a/packages/gateway/cowslipvalve_gateway/_watchers.py
+++ b/packages/gateway/cowslipvalve_gateway/_watchers.py
@@ -38,6 +38,9 @@
 # Other hosts accept a state that is up to 1,500 ms old, which allows for two
 # probes and their round trips.
 _PROBE_INTERVAL_MS = 500.0
+# Registrations may lapse in an outage that is longer. It exceeds the usual age
+# of states that hosts of several domains pass on.
+_MAX_OUTAGE_MS = 2_000.0
 PROBE_TIMEOUT_MS = 600.0  # On the slowest days the store answers in 0.4 s.
 
 _logger = logging.getLogger(__name__)
@@ -69,6 +72,8 @@
         # When the newest call that the store answered was sent.
         self._answered_call_ms = float("-inf")
         self._is_lost = False
+        # When the store was last lost.
+        self._lost_ms = float("-inf")
         self._watches: dict[_stores.StateKind, _Watch] = {}
 
     async def run(self) -> None:
@@ -183,6 +188,7 @@
     def _record_loss(self, step: str, error: base.PlatformError) -> None:
         self._confirmed.clear()
         if not self._is_lost:
+            self._lost_ms = self._clock.now_ms()
             base.log_event(
                 _logger, "store-lost", logging.WARNING, step=step, error=error
             )
@@ -191,12 +197,22 @@
     def _record_answer(self, kind: _stores.StateKind, sent_ms: float) -> None:
         self._confirmed.add(kind)
         self._answered_call_ms = max(self._answered_call_ms, sent_ms)
-        if self._is_lost:
+        if self._is_lost and not self._was_reached_by_others():
             self._replica.start_grace_period()
         if self._is_lost and self._confirmed >= _REQUIRED_KINDS:
             self._is_lost = False
             base.log_event(_logger, "store-regained")
 
+    def _was_reached_by_others(self) -> bool:
+        """Whether only this host had lost the store.
+
+        Servers then could renew their registrations, so that those that ended
+        have not lapsed in an outage.
+        """
+        age_ms = self._replica.age_ms
+        known_ms = self._replica.confirmed_ms - self._lost_ms
+        return age_ms < min(known_ms, _MAX_OUTAGE_MS)
+
     def _confirm_state(self) -> None:
         if self._confirmed >= _REQUIRED_KINDS:
             self._replica.confirmed_ms = max(
