Let rounding errors earn no extra attempt

What callers saw: no report. Where the ratio of the requests since an attempt and the share of the slack made a whole number, a host could send one extra attempt more than both.

Cause: the sum is rounded up, and a rounding error just above a whole number (5.6 + 0.4) counted as a whole attempt more.

Ruled out: the order of the attempts that the budget keeps.

Change: the sum is rounded up less a tolerance of 1e-9.

test_rounding_errors_earn_no_attempt: 4 of 4 subtests failed before (6 for 5, 7 for 6, 8 for 7, 9 for 8), none now. test_budgetsums 6 of 6, test_decisions 14 of 14, test_helper_budgets 2 of 2, make check passed.

--- a/packages/gateway/cowslipvalve_gateway/_budgets.py
+++ b/packages/gateway/cowslipvalve_gateway/_budgets.py
@@ -19,6 +19,7 @@
 _USABLE_SLACK_SHARE = 0.8
 # A packet that is lost once arrives that much later than it was sent.
 _ARRIVAL_MARGIN_MS = 500.0
+_TOLERANCE = 1e-9  # Covers rounding errors of what requests earn.
 
 
 @attrs.frozen(kw_only=True)
@@ -137,7 +138,8 @@
         later = min(self._compute_since_sent(), self._compute_since_taken())
         if later < math.inf:
             # Few requests at a host would else seldom earn a whole attempt.
-            whole = min(whole, math.ceil(later + self._compute_slack(share)))
+            later += self._compute_slack(share) - _TOLERANCE
+            whole = min(whole, math.ceil(later))
         return whole - len(self._unsent)
 
     def _compute_since_sent(self) -> float:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetearnings.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetearnings.py
@@ -28,6 +28,20 @@
                 # The share of the slack, not what requests earned before.
                 self.assertEqual(taken, 6)
 
+    def test_rounding_errors_earn_no_attempt(self) -> None:
+        # The share of the slack is 5.6, and each request earns 0.2.
+        for count in (2, 7, 12, 17):
+            with self.subTest(count=count):
+                clock = _clocks.create_manual_clock()
+                budget = gateway.create_attempt_budget(clock, _BOUNDS)
+                _add_requests(clock, budget, 100)
+                budget.record_sent(budget.take())
+                clock.advance(10.0)
+                _add_requests(clock, budget, count)
+                # The attempt that was sent is one of these.
+                earned = (56 + 2 * count) // 10
+                self.assertEqual(budget.compute_remaining(_SHARE), earned - 1)
+
     def test_new_ratio_holds_for_what_was_sent_before(self) -> None:
         clock = _clocks.create_manual_clock()
         less = attrs.evolve(_BOUNDS, ratio=0.05)
