--- /dev/null
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_hoststreams.py
@@ -0,0 +1,82 @@
+"""Tests of requests to other hosts that report on their work."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+import unittest
+
+import aiohttp
+
+import cowslipvalve_base as base
+import cowslipvalve_gateway as gateway
+from cowslipvalve_gateway import _errors
+from cowslipvalve_gateway import _hoststreams
+
+_CONNECT_MS = 50.0
+_SILENCE_MS = 60.0
+# Longer than the time to connect and the time to the first report.
+_BUSY_S = 0.3
+# The host reports while this process's event loop is busy.
+_REPORT_DELAY_S = 0.05
+
+
+class HostStreamTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.asked = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    def start_host(self, answer: bytes) -> None:
+        """Starts a host in a thread, so that it answers a busy event loop."""
+        thread = threading.Thread(target=self._serve, args=(answer,))
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.listener.close)
+
+    def _serve(self, answer: bytes) -> None:
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(65_536)
+            self.asked.set()
+            time.sleep(_REPORT_DELAY_S)
+            connection.sendall(answer)
+            with contextlib.suppress(ConnectionError):
+                while connection.recv(65_536):  # Until the caller closes.
+                    pass
+
+    async def ask(self) -> list[gateway.GroupReport]:
+        """Returns the reports of the host."""
+        port = self.listener.getsockname()[1]
+        reports = _hoststreams.ask(
+            self.session,
+            f"127.0.0.1:{port}",
+            gateway.GROUP_PATH,
+            {},
+            gateway.GroupReport,
+            _CONNECT_MS,
+            _SILENCE_MS,
+        )
+        return [report async for report in reports]
+
+    async def test_report_that_came_during_a_busy_turn_is_read(self) -> None:
+        report = gateway.GroupReport(asked=("i-1",))
+        line = base.encode(report) + b"\n"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(line)}\r\n\r\n"
+        self.start_host(head.encode() + line)
+        asking = asyncio.create_task(self.ask())
+        while not self.asked.is_set():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        time.sleep(_BUSY_S)  # noqa: ASYNC251
+        self.assertEqual(await asking, [report])
+
+    async def test_host_that_stays_silent_is_given_up(self) -> None:
+        self.start_host(b"")
+        started_s = time.monotonic()
+        with self.assertRaises(_errors.HostUnavailableError):
+            await self.ask()
+        self.assertLess(time.monotonic() - started_s, _BUSY_S)
