--- a/packages/gateway/cowslipvalve_gateway/tests/test_hoststreams.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_hoststreams.py
@@ -37,6 +37,8 @@
         thread.start()
         self.addCleanup(thread.join)
         self.addCleanup(self.listener.close)
+        # The thread ends with the connection, which the session keeps.
+        self.addAsyncCleanup(self.session.close)
 
     def _serve(self, answer: bytes) -> None:
         connection, _ = self.listener.accept()
