--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -22,7 +22,8 @@
 _OVERLOAD_RETRY_MS = 25.0  # A full server completes a request in this time.
 # A longer wait for a connection costs callers more than a failed attempt.
 _CONNECT_TARGET_SHARE = 0.25
-_COLD_RETRY_MS = 20.0  # How often a cold server is tried.
+# How often a call checks whether a cold server may get its request.
+_COLD_RETRY_MS = 20.0
 _FIRST_SERVER_ERROR = 500
 
 
