Share the interval and the writing of reports between hosts

The handlers of relays and of groups each had the interval of reports, twice the interval as the silence, and the writing of a line. _hoststreams, which reads these lines, has them now. The values and messages are the same.

--- a/packages/gateway/cowslipvalve_gateway/_groupcalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupcalls.py
@@ -15,17 +15,14 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
-from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _hostrefusals
+from cowslipvalve_gateway import _hoststreams
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 from cowslipvalve_gateway import _servicewaits
 
-# Two intervals without a report; the interval allows for a busy host.
-_SILENCE_MS = 2 * _groupgathers.PROGRESS_INTERVAL_MS
-
 # How many helpers may answer that they do not reach a shard either.
 _MAX_FURTHER_HELPERS = 2
 
@@ -225,7 +222,8 @@
         reports = self._context.groups.ask(
             host.state_address,
             message,
-            _SILENCE_MS + self._context.detours.find_round_trip_ms(host),
+            _hoststreams.SILENCE_MS
+            + self._context.detours.find_round_trip_ms(host),
         )
         # Reads on to the end, so that the connection can be used again.
         async with contextlib.aclosing(reports):
--- a/packages/gateway/cowslipvalve_gateway/_groupgathers.py
+++ b/packages/gateway/cowslipvalve_gateway/_groupgathers.py
@@ -8,6 +8,7 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _groupmessages
+from cowslipvalve_gateway import _hoststreams
 from cowslipvalve_gateway import _merges
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
@@ -18,8 +19,6 @@
 _REPORT_DELAY_MS = 12.0
 # The time of a report to the other host and of its merge there.
 _REPORT_MARGIN_MS = 8.0
-# The other host waits twice this time before it replaces this host.
-PROGRESS_INTERVAL_MS = 30.0
 
 
 class GroupGather:
@@ -92,7 +91,7 @@
 
     async def next_report(self) -> _groupmessages.GroupReport:
         """Returns the next parts, or an empty report after a while."""
-        if not await self._wait_for_news(PROGRESS_INTERVAL_MS):
+        if not await self._wait_for_news(_hoststreams.PROGRESS_INTERVAL_MS):
             if self._clock.now_ms() < self._deadline_ms:
                 return _groupmessages.GroupReport()
             self._fail_unsettled()
--- a/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_grouphandlers.py
@@ -11,11 +11,11 @@
 from cowslipvalve_gateway import _groupgathers
 from cowslipvalve_gateway import _groupmessages
 from cowslipvalve_gateway import _hostrefusals
+from cowslipvalve_gateway import _hoststreams
 from cowslipvalve_gateway import _looplags
 from cowslipvalve_gateway import _relayadmissions
 
 _HTTP_BAD_REQUEST = 400
-_LINE_END = b"\n"
 
 _logger = logging.getLogger(__name__)
 
@@ -108,11 +108,11 @@
         await asyncio.sleep(0)
         answered = 0
         try:
-            await _write(response, gather.start())
+            await _hoststreams.write_report(response, gather.start())
             while not gather.is_finished:
                 report = await gather.next_report()
                 answered += len(report.answered)
-                await _write(response, report)
+                await _hoststreams.write_report(response, report)
         finally:
             gather.abandon()
             self._log(message, answered)
@@ -133,12 +133,6 @@
         )
 
 
-async def _write(
-    response: web.StreamResponse, report: _groupmessages.GroupReport
-) -> None:
-    await response.write(base.encode(report) + _LINE_END)
-
-
 def create_group_handler(
     context: _callcontexts.CallContext,
     lag: _looplags.LoopLag,
--- a/packages/gateway/cowslipvalve_gateway/_hoststreams.py
+++ b/packages/gateway/cowslipvalve_gateway/_hoststreams.py
@@ -1,16 +1,22 @@
-"""Requests to other hosts that report on their work in lines of JSON."""
+"""Requests between hosts whose responses report on the work in JSON lines."""
 
 import asyncio
 from collections.abc import AsyncGenerator
 from typing import TypeVar
 
 import aiohttp
+from aiohttp import web
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _hostrefusals
 
+# The longest time between two reports of a host that works for another one.
+PROGRESS_INTERVAL_MS = 30.0
+# Two intervals without a report; the interval allows for a busy host.
+SILENCE_MS = 2 * PROGRESS_INTERVAL_MS
 _HTTP_OK = 200
+_LINE_END = b"\n"
 # After a busy turn of the event loop a time-out may come before bytes that
 # have already arrived are read.
 _REREAD_TIMEOUT_MS = 5.0
@@ -87,6 +93,11 @@
             response.close()
 
 
+async def write_report(response: web.StreamResponse, report: object) -> None:
+    """Writes a report of this host to the host that it works for."""
+    await response.write(base.encode(report) + _LINE_END)
+
+
 async def _read_line(
     address: str, path: str, response: aiohttp.ClientResponse, silence_ms: float
 ) -> bytes:
--- a/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -10,6 +10,7 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _hostrefusals
+from cowslipvalve_gateway import _hoststreams
 from cowslipvalve_gateway import _looplags
 from cowslipvalve_gateway import _relayadmissions
 from cowslipvalve_gateway import _relaymessages
@@ -17,9 +18,6 @@
 from cowslipvalve_gateway import _singleoutcomes
 
 _HTTP_BAD_REQUEST = 400
-_LINE_END = b"\n"
-# The other host waits twice this time before it replaces this host.
-PROGRESS_INTERVAL_MS = 30.0
 
 _logger = logging.getLogger(__name__)
 
@@ -102,11 +100,11 @@
         )
         call.start()
         try:
-            await _write(
+            await _hoststreams.write_report(
                 response, _relaymessages.RelayReport(asked=call.first_server)
             )
             while not await self._wait(settled, caller_request.deadline_ms):
-                await _write(
+                await _hoststreams.write_report(
                     response,
                     _relaymessages.RelayReport(asked=call.first_server),
                 )
@@ -121,7 +119,7 @@
         if is_unreached:
             call.withdraw()
         for report in _relaymessages.create_last_reports(outcome, is_unreached):
-            await _write(response, report)
+            await _hoststreams.write_report(response, report)
         await response.write_eof()
         return response
 
@@ -130,7 +128,9 @@
         remaining_ms = deadline_ms - self._context.clock.now_ms()
         try:
             async with asyncio.timeout(
-                base.to_seconds(min(PROGRESS_INTERVAL_MS, remaining_ms))
+                base.to_seconds(
+                    min(_hoststreams.PROGRESS_INTERVAL_MS, remaining_ms)
+                )
             ):
                 await settled.wait()
         except TimeoutError:
@@ -167,12 +167,6 @@
     return _attempts.Repeat(server=message.asked)
 
 
-async def _write(
-    response: web.StreamResponse, report: _relaymessages.RelayReport
-) -> None:
-    await response.write(base.encode(report) + _LINE_END)
-
-
 def create_relay_handler(
     context: _callcontexts.CallContext,
     lag: _looplags.LoopLag,
--- a/packages/gateway/cowslipvalve_gateway/_relays.py
+++ b/packages/gateway/cowslipvalve_gateway/_relays.py
@@ -11,15 +11,12 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _hostrefusals
+from cowslipvalve_gateway import _hoststreams
 from cowslipvalve_gateway import _refusals
-from cowslipvalve_gateway import _relayhandlers
 from cowslipvalve_gateway import _relaymessages
 from cowslipvalve_gateway import _requestmessages
 from cowslipvalve_gateway import _resources
 
-# Two intervals without a report; the interval allows for a busy host.
-_SILENCE_MS = 2 * _relayhandlers.PROGRESS_INTERVAL_MS
-
 _logger = logging.getLogger(__name__)
 
 
@@ -162,7 +159,10 @@
         message = self._create_message()
         # From here on, a cancelled request may have been sent.
         self._may_have_run = True
-        bound_ms = _SILENCE_MS + self._context.detours.find_round_trip_ms(host)
+        bound_ms = (
+            _hoststreams.SILENCE_MS
+            + self._context.detours.find_round_trip_ms(host)
+        )
         silence_ms = bound_ms
         if not self._route.is_idempotent:
             # Another host could not replace this one anyway.
