Send a body that a server ended under to it no more often than before

Cause: the free retry made no difference between failures; a lost connection is evidence that the body ends servers.

Change: after such a failure a retry without a further server counts, though it takes no token, so that the number of sendings is that of before.

test_body_that_a_server_ended_under_is_sent_to_it_once_more failed before (three sendings, not two); test_retry_charges 5 of 5 and test_read_sessions pass.

--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -377,8 +377,9 @@
             return True
         if self._choose_replica(shard) is None:
             # No retry leaves. If all servers were tried, they are tried again
-            # later; if none is usable, the shard must not wait for ever.
-            if not shard.tried_servers:
+            # later; if none is usable, the shard must not wait for ever. Nor
+            # may a body that servers end under return to them each time.
+            if not shard.tried_servers or shard.reason in _CRASH_REASONS:
                 shard.budgeted_retries += 1
             return False
         if self._context.budget.take(1) == 0:
--- a/packages/daemon/cowslipvalve_daemon/tests/test_retry_charges.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_retry_charges.py
@@ -124,6 +124,15 @@
         self.assertEqual(run.coverage.missing, (0,))
         self.assertEqual(self.empty_budget(), 2)
 
+    async def test_body_that_a_server_ended_under_is_sent_to_it_once_more(
+        self,
+    ) -> None:
+        self.failures = [model.Reason.CONNECTION_LOST] * 10
+        self.usable = {"server-a"}
+        run = await self.run_search()
+        self.assertEqual(self.sent, ["server-a"] * 2)
+        self.assertEqual(run.coverage.missing, (0,))
+
     async def test_retry_without_a_usable_server_costs_nothing_and_ends(
         self,
     ) -> None:
