Share the moving hosts of the tests of budgets and of cold servers

test_budgetsums and test_coldpaces each had hosts that are killed, stopped and replaced on a manual clock, with late news of each other, and test_slackshares a third copy of their route. hostmoves has them now; the tests keep what hosts send and all assertions.

--- a/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_budgetsums.py
@@ -1,6 +1,5 @@
 """Tests of the extra attempts of all hosts while hosts or callers move."""
 
-import itertools
 import random
 import unittest
 from collections.abc import Callable
@@ -9,80 +8,50 @@
 import attrs
 
 import cowslipvalve_gateway as gateway
+from cowslipvalve_gateway.tests import hostmoves
 from cowslipvalve_standins import _arrivals
 from cowslipvalve_standins import _clocks
 from cowslipvalve_standins import _hostprocesses
 
 _SERVICE = "orders"
-_HOST_COUNT = 8
 _BOUNDS = gateway.BudgetBounds(
     ratio=_hostprocesses.BUDGET_RATIO,
     slack=_hostprocesses.BUDGET_SLACK,
     window_ms=_hostprocesses.BUDGET_WINDOW_S * 1_000.0,
 )
 _TABLE = gateway.RoutingTable(
-    version=1,
-    routes=(
-        gateway.Route(
-            name="read",
-            host="search.example",
-            path_prefix="/read/",
-            split=(gateway.Share(service=_SERVICE, weight=1),),
-            is_idempotent=True,
-            max_attempts=3,
-            timeout_ms=1_500.0,
-            target_ms=200.0,
-        ),
-    ),
-    services={},
+    version=1, routes=(hostmoves.create_route(_SERVICE),), services={}
 )
 _STEP_MS = 50.0
-_LEAD_MS = 14_000.0  # From the start of the hosts to the first request.
 _LOAD_MS = 60_000.0
 _REQUESTS_PER_STEP = 2  # 40 a second.
 _EXTRA_PER_REQUEST = 2
-_START_MS = 300.0  # A host knows the hosts that long after its start.
-_NEWS_MS = 2_900.0  # A change reaches each host within this time.
 _TRANSIT_MS = 400.0  # The longest way of an attempt to its server.
 _EVENT_STEPS = 30  # Hosts come or go every 1.5 s.
 _FAILING_SHARE = 0.5  # Of the time in which callers move.
-_GRACE_MS = 4_000.0  # A host serves that long after it has left the others.
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Host:
-    """A process of a host; its next process is another one."""
+class _Host(hostmoves.Host):
+    """A host with what its calls share."""
 
-    record: gateway.HostRecord
     context: gateway.CallContext
-    started_ms: float
-    # How late the host learns of changes.
-    news_ms: float
-    end_ms: float = float("inf")
 
 
-class _Deployment:
-    """Hosts whose servers fail every attempt, on a manual clock."""
+class _Deployment(hostmoves.Deployment[_Host]):
+    """Hosts whose servers fail every attempt."""
 
     def __init__(self, seed: int) -> None:
-        self._rng = random.Random(seed)
-        self._clock = _clocks.create_manual_clock()
-        self._numbers = itertools.count()
-        # The registered hosts after each change.
-        self._versions: list[tuple[float, dict[str, gateway.HostRecord]]] = [
-            (self._clock.now_ms(), {})
-        ]
-        self._hosts: list[_Host] = []
+        super().__init__(seed)
         self._requests_ms: list[float] = []
         self._arrivals_ms: list[float] = []
 
     def run(self, change: Callable[["_Deployment"], None]) -> list[float]:
         """Runs under load; returns the times of the extra arrivals."""
-        for _ in range(_HOST_COUNT):
-            self._add()
-        self._advance(_LEAD_MS)
+        self.start()
+        self.advance(hostmoves.LEAD_MS)
         for step in range(int(_LOAD_MS / _STEP_MS)):
-            self._advance(_STEP_MS)
+            self.advance(_STEP_MS)
             if step % _EVENT_STEPS == 0:
                 change(self)
             for _ in range(_REQUESTS_PER_STEP):
@@ -95,83 +64,35 @@
             sorted(self._arrivals_ms), self._requests_ms
         )
 
-    def keep(self) -> None:
-        """Leaves the hosts as they are."""
-
-    def kill(self) -> None:
-        """Kills a host and starts it at once under its name."""
-        host = self._rng.choice(self._list_serving())
-        host.end_ms = self._clock.now_ms()
-        self._start(host.record)
-
-    def stop(self) -> None:
-        """Stops a host in order, or starts all that were stopped."""
-        registered = self._versions[-1][1]
-        serving = self._list_serving()
-        if len(registered) > _HOST_COUNT // 2:
-            host = self._rng.choice(
-                [h for h in serving if h.record.name in registered]
-            )
-            self._leave(host)
-        else:
-            for _ in range(_HOST_COUNT - len(registered)):
-                self._add()
-
-    def replace(self) -> None:
-        """Starts a host of a new name and stops another one in order."""
-        registered = self._versions[-1][1]
-        serving = self._list_serving()
-        host = next(h for h in serving if h.record.name in registered)
-        self._add()
-        self._leave(host)
-
-    def vary(self) -> None:
-        """Does any of these."""
-        self._rng.choice((self.kill, self.stop, self.replace))()
+    def choose_to_stop(self, registered: list[_Host]) -> _Host:
+        return self.rng.choice(registered)
 
     def start_one(self) -> gateway.CallContext:
         """Starts a host beside those that run; returns its context."""
-        self._add()
-        return self._hosts[-1].context
+        self.add()
+        return self.hosts[-1].context
 
     def advance(self, duration_ms: float) -> None:
         """Lets time pass without load."""
-        self._advance(duration_ms)
-
-    def _list_serving(self) -> list[_Host]:
-        now_ms = self._clock.now_ms()
-        return [h for h in self._hosts if h.end_ms > now_ms]
-
-    def _add(self) -> None:
-        name = f"h{next(self._numbers)}"
-        record = gateway.HostRecord(name=name, domain="a", state_address=name)
-        self._register({**self._versions[-1][1], name: record})
-        self._start(record)
-
-    def _leave(self, host: _Host) -> None:
-        records = dict(self._versions[-1][1])
-        del records[host.record.name]
-        self._register(records)
-        host.end_ms = self._clock.now_ms() + _GRACE_MS
-
-    def _register(self, records: dict[str, gateway.HostRecord]) -> None:
-        self._versions.append((self._clock.now_ms(), records))
-
-    def _start(self, record: gateway.HostRecord) -> None:
-        catalog = gateway.create_catalog(
-            self._clock, {}, gateway.create_group_planner(record)
-        )
-        catalog.set_table(_TABLE)
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(_STEP_MS)
+            for host in self.list_serving():
+                if self.is_started(host):
+                    host.catalog.set_hosts(self.read_records(host))
+
+    def create_host(self, host: hostmoves.Host) -> _Host:
+        host.catalog.set_table(_TABLE)
         context = gateway.CallContext(
-            catalog=catalog,
+            catalog=host.catalog,
             limiter=mock.Mock(),
             limit_reader=mock.Mock(),
             selector=mock.Mock(),
             client=mock.Mock(),
             bounds=_BOUNDS,
             measurements=gateway.create_measurements(),
-            clock=self._clock,
-            own_name=record.name,
+            clock=self.clock,
+            own_name=host.record.name,
             groups=mock.Mock(),
             host_health=mock.Mock(),
             shard_waits=mock.Mock(),
@@ -180,33 +101,16 @@
             detours=mock.Mock(),
             relays=mock.Mock(),
         )
-        host = _Host(
-            record=record,
+        return _Host(
+            **attrs.asdict(host, recurse=False),
             context=context,
-            started_ms=self._clock.now_ms(),
-            news_ms=self._rng.uniform(0.0, _NEWS_MS),
         )
-        self._hosts.append(host)
-
-    def _advance(self, duration_ms: float) -> None:
-        end_ms = self._clock.now_ms() + duration_ms
-        while self._clock.now_ms() < end_ms:
-            self._clock.advance(_STEP_MS)
-            for host in self._list_serving():
-                self._inform(host)
-
-    def _inform(self, host: _Host) -> None:
-        now_ms = self._clock.now_ms()
-        if now_ms < host.started_ms + _START_MS:
-            return
-        known = [r for t, r in self._versions if t <= now_ms - host.news_ms]
-        host.context.catalog.set_hosts(known[-1] if known else {})
 
     def _request(self) -> None:
-        now_ms = self._clock.now_ms()
-        host = self._rng.choice(self._list_serving())
+        now_ms = self.clock.now_ms()
+        host = self.rng.choice(self.list_serving())
         self._requests_ms.append(now_ms)
-        if now_ms < host.started_ms + _START_MS:
+        if not self.is_started(host):
             return
         budget = host.context.budget(_SERVICE)
         budget.add_request()
@@ -214,7 +118,7 @@
             extra = host.context.try_take_extra(_SERVICE, False)
             if extra is not None:
                 budget.record_sent(extra)
-                transit_ms = self._rng.uniform(0.0, _TRANSIT_MS)
+                transit_ms = self.rng.uniform(0.0, _TRANSIT_MS)
                 self._arrivals_ms.append(now_ms + transit_ms)
 
 
@@ -263,7 +167,7 @@
                 "no_share",
             ),
             (
-                _LEAD_MS + _NEWS_MS,
+                hostmoves.LEAD_MS + hostmoves.NEWS_MS,
                 44,
                 {"budget": "0.8", "slack_share": "1.0000", "has_slack": True},
                 "used_up",
@@ -289,7 +193,7 @@
         self._clock = _clocks.create_manual_clock()
         self._budgets = [
             gateway.create_attempt_budget(self._clock, _BOUNDS)
-            for _ in range(_HOST_COUNT)
+            for _ in range(hostmoves.HOST_COUNT)
         ]
         self._asked = self._budgets
         self._load = 1.0
@@ -315,7 +219,7 @@
 
     def move(self) -> None:
         """Moves all callers to some hosts."""
-        count = self._rng.randint(1, _HOST_COUNT)
+        count = self._rng.randint(1, hostmoves.HOST_COUNT)
         self._asked = self._rng.sample(self._budgets, count)
 
     def press(self) -> None:
@@ -336,7 +240,7 @@
         budget = self._rng.choice(self._asked)
         budget.add_request()
         for _ in range(_EXTRA_PER_REQUEST if self._is_failing else 0):
-            if budget.find_denial(1.0 / _HOST_COUNT) is None:
+            if budget.find_denial(1.0 / hostmoves.HOST_COUNT) is None:
                 budget.record_sent(budget.take())
                 self._extra_ms.append(now_ms)
 
--- a/packages/gateway/cowslipvalve_gateway/tests/test_slackshares.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_slackshares.py
@@ -4,25 +4,13 @@
 
 import cowslipvalve_gateway as gateway
 from cowslipvalve_gateway import _slackshares
+from cowslipvalve_gateway.tests import hostmoves
 from cowslipvalve_standins import _clocks
 
 _HOLD_MS = 13_000.0
 _SERVICE = "orders"
 _TABLE = gateway.RoutingTable(
-    version=1,
-    routes=(
-        gateway.Route(
-            name="read",
-            host="search.example",
-            path_prefix="/read/",
-            split=(gateway.Share(service=_SERVICE, weight=1),),
-            is_idempotent=True,
-            max_attempts=3,
-            timeout_ms=1_500.0,
-            target_ms=200.0,
-        ),
-    ),
-    services={},
+    version=1, routes=(hostmoves.create_route(_SERVICE),), services={}
 )
 
 
