--- a/review/2/play.py
+++ b/review/2/play.py
@@ -54,7 +54,7 @@
     record.note("leaving", searcher=LEAVING)
     leaving.is_leaving = True
     if not has_trouble:
-        d.store.put("servers", LEAVING, leaving.entry("draining"))
+        d.store.put("servers", leaving.instance, leaving.entry("draining"))
     await asyncio.sleep(max(0, stranded + STRANDED_S - deployment.now()))
     if has_trouble:
         for link in d.hosts[CUT_OFF].links:
@@ -65,7 +65,7 @@
         d.store.set_silent(False)
         record.note("store-back")
         # The searcher's report that it drains is accepted now.
-        d.store.put("servers", LEAVING, leaving.entry("draining"))
+        d.store.put("servers", leaving.instance, leaving.entry("draining"))
     await asyncio.gather(*loads)
     return judge(d, record)
 
