Bound the replies of backend servers that cowslipvalved reads

Cause: ServerClient awaited response.read(), which nothing bounds; and up to 256 KB of each connection were parsed in one turn of the event loop.

Change: replies are read in parts that are counted against a limit for each and one for all (AnswerMemory moves from the gateway to the base for this, behaviour unchanged); connections to servers have a small receive buffer. Two settings, limits.maxReplyBytes and maxTotalReplyBytes.

--- a/packages/backend/cowslipvalve_backend/_client.py
+++ b/packages/backend/cowslipvalve_backend/_client.py
@@ -1,11 +1,13 @@
 """Client of one backend server."""
 
 import asyncio
+import socket
 from typing import Any, TypeVar
 
 import aiohttp
 
 import cowslipvalve_model as model
+from cowslipvalve_backend import _replies
 
 _T = TypeVar("_T")
 
@@ -13,6 +15,9 @@
 _STATE_TIMEOUT_MS = 1_000
 _CANCEL_TIMEOUT_MS = 500
 _KEEP_ALIVE_S = 30
+# What has arrived on a connection is parsed in one turn of the event loop, so
+# that many servers that send without end would hold up all others.
+_RECEIVE_BUFFER_BYTES = 16_384
 
 
 class ServerClient:
@@ -27,10 +32,15 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, name: str, address: str
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        address: str,
+        memory: model.AnswerMemory | None = None,
     ) -> None:
         self._session = session
         self._name = name
+        self._memory = memory or model.create_answer_memory()
         self._url = f"http://{address}"
         self.connections_opened = 0
 
@@ -78,12 +88,14 @@
                 asyncio.timeout(model.to_seconds(_STATE_TIMEOUT_MS)),
                 self._session.get(self._url + "/state") as response,
             ):
-                return model.decode(model.ServerState, await response.read())
+                text = await self._read(response)
+                return model.decode(model.ServerState, text)
         except (
             TimeoutError,
             aiohttp.ClientError,
             OSError,
             model.InputError,
+            _replies.ReplyTooLargeError,
         ) as error:
             raise model.NotRunError(
                 f"the server's state could not be read: {error!r}",
@@ -102,8 +114,13 @@
                     self._url + "/cancel", data=body
                 ) as response,
             ):
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
+                await self._read(response)
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            _replies.ReplyTooLargeError,
+        ):
             return
 
     async def close(self) -> None:
@@ -128,7 +145,7 @@
                     headers=headers,
                 ) as response,
             ):
-                text = await response.read()
+                text = await self._read(response)
                 if response.status != _HTTP_OK:
                     response.close()
                     raise self._create_unknown_outcome_error(
@@ -152,6 +169,8 @@
             raise self._create_unknown_outcome_error(
                 step, "the deadline passed"
             ) from error
+        except _replies.ReplyTooLargeError as error:
+            raise self._create_unknown_outcome_error(step, error) from error
         except (aiohttp.ClientError, OSError) as error:
             raise model.CrashedError(
                 f"the connection was lost: {error!r}",
@@ -159,6 +178,9 @@
                 peer=self._name,
             ) from error
 
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes:
+        return await _replies.read_reply(response, self._memory, self._name)
+
     def _create_unknown_outcome_error(
         self, step: str, cause: object
     ) -> model.UnknownOutcomeError:
@@ -202,10 +224,31 @@
     return model.ServerReply(reply.boot_id, tuple(checked))
 
 
+def _create_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
+    """Returns a socket that receives little at once."""
+    family, kind, protocol, _, _ = address_info
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    return created
+
+
 def create_server_client(
-    name: str, address: str, max_connections: int
+    name: str,
+    address: str,
+    max_connections: int,
+    memory: model.AnswerMemory | None = None,
 ) -> ServerClient:
-    """Returns a client that opens at most max_connections at a time."""
+    """Returns a client of one server.
+
+    Args:
+      name: The name of the server.
+      address: Its address, HOST:PORT.
+      max_connections: The most connections that are open at a time.
+      memory: Counts the bytes of all replies that the process is receiving; if
+        None, those of this client.
+    """
     opened: list[ServerClient] = []
 
     async def count_connection(*_: Any) -> None:
@@ -215,9 +258,11 @@
     trace.on_connection_create_end.append(count_connection)
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            limit=max_connections, keepalive_timeout=_KEEP_ALIVE_S
+            limit=max_connections,
+            keepalive_timeout=_KEEP_ALIVE_S,
+            socket_factory=_create_socket,
         ),
         trace_configs=[trace],
     )
-    opened.append(ServerClient(session, name, address))
+    opened.append(ServerClient(session, name, address, memory))
     return opened[0]
--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -2,6 +2,9 @@
 
 from cowslipvalve_base._addresses import check_address
 from cowslipvalve_base._addresses import split_address
+from cowslipvalve_base._answerbounds import AnswerLimits
+from cowslipvalve_base._answerbounds import AnswerMemory
+from cowslipvalve_base._answerbounds import create_answer_memory
 from cowslipvalve_base._clock import Clock
 from cowslipvalve_base._clock import create_clock
 from cowslipvalve_base._clock import to_seconds
@@ -45,6 +48,8 @@
 
 __all__ = [
     "AlreadyExistsError",
+    "AnswerLimits",
+    "AnswerMemory",
     "Clock",
     "ConflictError",
     "CowslipvalveError",
@@ -68,6 +73,7 @@
     "check_depth",
     "choose_name",
     "compute_fraction",
+    "create_answer_memory",
     "create_clock",
     "create_cutoff",
     "decode",
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -203,7 +203,12 @@
         client, configurations, memberships, metrics, clock
     )
     homes = _homes.create_home_service(
-        settings.failure_domain, memberships, configurations, metrics, clock
+        settings.failure_domain,
+        memberships,
+        configurations,
+        settings.limits.create_reply_memory(),
+        metrics,
+        clock,
     )
     streams = _querystreams.create_query_streams(
         memberships, transport.session, transport.scheme, clock
--- a/packages/daemon/cowslipvalve_daemon/_homes.py
+++ b/packages/daemon/cowslipvalve_daemon/_homes.py
@@ -33,6 +33,7 @@
         failure_domain: str,
         memberships: _memberships.Memberships,
         configurations: _configurations.ConfigurationHolder,
+        reply_memory: model.AnswerMemory,
         metrics: _metrics.Metrics,
         clock: model.Clock,
     ) -> None:
@@ -40,6 +41,7 @@
         self._failure_domain = failure_domain
         self._memberships = memberships
         self._configurations = configurations
+        self._reply_memory = reply_memory
         self._metrics = metrics
         self._clock = clock
         self._workers: dict[str, _serverworkers.ServerWorker] = {}
@@ -177,6 +179,7 @@
             server,
             self._memberships,
             self._configurations,
+            self._reply_memory,
             self._metrics,
             self._clock,
         )
@@ -234,10 +237,16 @@
     failure_domain: str,
     memberships: _memberships.Memberships,
     configurations: _configurations.ConfigurationHolder,
+    reply_memory: model.AnswerMemory,
     metrics: _metrics.Metrics,
     clock: model.Clock,
 ) -> HomeService:
     """Returns a home service without workers."""
     return HomeService(
-        failure_domain, memberships, configurations, metrics, clock
+        failure_domain,
+        memberships,
+        configurations,
+        reply_memory,
+        metrics,
+        clock,
     )
--- a/packages/daemon/cowslipvalve_daemon/_serverworkers.py
+++ b/packages/daemon/cowslipvalve_daemon/_serverworkers.py
@@ -356,12 +356,16 @@
     server: model.BackendServer,
     memberships: _memberships.Memberships,
     configurations: _configurations.ConfigurationHolder,
+    reply_memory: model.AnswerMemory,
     metrics: _metrics.Metrics,
     clock: model.Clock,
 ) -> ServerWorker:
     """Returns a worker for one server, which is treated as cold at first."""
     client = backend.create_server_client(
-        server.metadata.name, server.spec.address, server.spec.max_connections
+        server.metadata.name,
+        server.spec.address,
+        server.spec.max_connections,
+        reply_memory,
     )
     return ServerWorker(
         server, client, memberships, configurations, metrics, clock
--- a/packages/daemon/cowslipvalve_daemon/_settings.py
+++ b/packages/daemon/cowslipvalve_daemon/_settings.py
@@ -26,6 +26,12 @@
 
     # The largest accepted body of a caller's request.
     max_body_bytes: int = attrs.field(default=65_536, validator=_POSITIVE)
+    # The largest accepted reply of a backend server.
+    max_reply_bytes: int = attrs.field(default=4_194_304, validator=_POSITIVE)
+    # The largest size of all replies that are being received.
+    max_total_reply_bytes: int = attrs.field(
+        default=33_554_432, validator=_POSITIVE
+    )
     # The most concurrent requests of callers.
     max_requests: int = attrs.field(default=2_000, validator=_POSITIVE)
     # At a stop, the time between becoming unready and refusing requests.
@@ -37,6 +43,15 @@
     # The time after which an unused ticket expires.
     ticket_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
 
+    def create_reply_memory(self) -> model.AnswerMemory:
+        """Creates the count of all replies that the host is receiving."""
+        return model.create_answer_memory(
+            model.AnswerLimits(
+                max_answer_bytes=self.max_reply_bytes,
+                max_total_bytes=self.max_total_reply_bytes,
+            )
+        )
+
 
 @attrs.frozen(kw_only=True)
 class TlsSettings:
--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -1,8 +1,8 @@
 """Request forwarding: routes, server selection, retries, merging and state."""
 
-from cowslipvalve_gateway._answerbounds import AnswerLimits
-from cowslipvalve_gateway._answerbounds import AnswerMemory
-from cowslipvalve_gateway._answerbounds import create_answer_memory
+from cowslipvalve_base import AnswerLimits
+from cowslipvalve_base import AnswerMemory
+from cowslipvalve_base import create_answer_memory
 from cowslipvalve_gateway._bodies import read_body
 from cowslipvalve_gateway._budgets import BudgetBounds
 from cowslipvalve_gateway._budgets import AttemptBudget
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -6,7 +6,6 @@
 from collections.abc import Collection
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _groupplans
 from cowslipvalve_gateway import _paceshares
 from cowslipvalve_gateway import _pools
@@ -50,7 +49,7 @@
         clock: base.Clock,
         regions: dict[str, str],
         planner: _groupplans.GroupPlanner | None,
-        memory: _answerbounds.AnswerMemory,
+        memory: base.AnswerMemory,
         links: _serverlinks.ServerLinks,
     ) -> None:
         self._clock = clock
@@ -382,7 +381,7 @@
     clock: base.Clock,
     regions: dict[str, str],
     planner: _groupplans.GroupPlanner | None = None,
-    limits: _answerbounds.AnswerLimits | None = None,
+    limits: base.AnswerLimits | None = None,
     links: _serverlinks.ServerLinks | None = None,
 ) -> Catalog:
     """Creates an empty catalog.
@@ -395,6 +394,6 @@
       limits: The limits on servers' answers; None for the defaults.
       links: Follows the links to the servers; None if nobody does.
     """
-    memory = _answerbounds.create_answer_memory(limits)
+    memory = base.create_answer_memory(limits)
     links = links or _serverlinks.create_server_links(clock)
     return Catalog(clock, regions, planner, memory, links)
--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -8,7 +8,7 @@
 import attrs
 import httptools
 
-from cowslipvalve_gateway import _answerbounds
+import cowslipvalve_base as base
 from cowslipvalve_gateway import _errors
 
 _FIRST_FINAL_STATUS = 200
@@ -63,10 +63,10 @@
     """
 
     def __init__(
-        self, peer: str, memory: _answerbounds.AnswerMemory | None = None
+        self, peer: str, memory: base.AnswerMemory | None = None
     ) -> None:
         self._peer = peer
-        self._memory = memory or _answerbounds.create_answer_memory()
+        self._memory = memory or base.create_answer_memory()
         # Of the current exchange.
         self._received_bytes = 0
         # How many of them precede the head that is being received.
--- a/packages/gateway/cowslipvalve_gateway/_pools.py
+++ b/packages/gateway/cowslipvalve_gateway/_pools.py
@@ -8,7 +8,6 @@
 import math
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _connections
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _links
@@ -59,7 +58,7 @@
         clock: base.Clock,
         address: str,
         max_connections: int,
-        memory: _answerbounds.AnswerMemory,
+        memory: base.AnswerMemory,
         link: _links.Link,
     ) -> None:
         self._clock = clock
@@ -277,7 +276,7 @@
     clock: base.Clock,
     address: str,
     max_connections: int,
-    memory: _answerbounds.AnswerMemory | None = None,
+    memory: base.AnswerMemory | None = None,
     link: _links.Link | None = None,
 ) -> ServerPool:
     """Creates an empty pool for one server.
@@ -293,6 +292,6 @@
         clock,
         address,
         max_connections,
-        memory or _answerbounds.create_answer_memory(),
+        memory or base.create_answer_memory(),
         link or _links.create_unregistered_link(clock, address),
     )
--- a/packages/gateway/cowslipvalve_gateway/_servers.py
+++ b/packages/gateway/cowslipvalve_gateway/_servers.py
@@ -5,7 +5,6 @@
 import random
 
 import cowslipvalve_base as base
-from cowslipvalve_gateway import _answerbounds
 from cowslipvalve_gateway import _links
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _ratelimits
@@ -205,7 +204,7 @@
     clock: base.Clock,
     server: _resources.Server,
     max_connections: int,
-    memory: _answerbounds.AnswerMemory | None = None,
+    memory: base.AnswerMemory | None = None,
     link: _links.Link | None = None,
 ) -> ServerView:
     """Creates the view of a newly registered server."""
--- a/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
@@ -1,16 +1,15 @@
 """Tests of connections to servers that send bytes that are no answer."""
 
 import asyncio
-import contextlib
 import itertools
 import socket
-import threading
 import time
 import unittest
 from collections.abc import Iterator
 
 import cowslipvalve_base as base
 import cowslipvalve_gateway as gateway
+from cowslipvalve_standins import _endlessservers
 
 _LIMITS = gateway.AnswerLimits(
     max_head_bytes=20_000,
@@ -23,35 +22,11 @@
 _SENT_BYTES = 100_000
 # What the kernel's buffers of a loopback connection hold beside the limit.
 _BUFFERED_BYTES = 8_000_000
-_OK = b"HTTP/1.1 200 OK\r\n"
+_OK = _endlessservers.OK
 _REQUEST = b"GET / HTTP/1.1\r\n\r\n"
-_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
-_PIECE = b"x" * 4_096
-_CHUNK = b"1000\r\n" + _PIECE + b"\r\n"
-
-_OTHER_ANSWER = _OK + b"Request-Id: other\r\nContent-Length: 2\r\n\r\nok"
+_OTHER_ANSWER = _endlessservers.OTHER_ANSWER
 # Callers give up a host that reads nothing of a request for so long.
 _READ_S = 1.0
-_ENDLESS_CONNECTIONS = 64
-_ENDLESS_BYTES = 40_000_000
-
-# What a server sends first, and what it then repeats until the close.
-_ENDLESS = {
-    "body without length": (_OK + b"\r\n", _PIECE),
-    "chunked body": (_CHUNKED, _CHUNK),
-    "tiny chunks": (_CHUNKED, b"1\r\nx\r\n" * 500),
-    "chunk extension": (_CHUNKED + b"1;", _PIECE),
-    "trailers": (_CHUNKED + b"0\r\n", b"a: b\r\n" * 500),
-    "status line": (b"HTTP/1.1 200 ", _PIECE),
-    "one header": (_OK + b"Server-Stamp: ", _PIECE),
-    "many headers": (_OK, b"a: b\r\n" * 500),
-    "informational responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
-    "small answers to other requests": (b"", _OTHER_ANSWER * 100),
-    "answers to other requests": (
-        b"",
-        _OK + b"Request-Id: other\r\nContent-Length: 4096\r\n\r\n" + _PIECE,
-    ),
-}
 
 
 class EndlessServer:
@@ -81,26 +56,6 @@
             self.closed.set()
 
 
-def _serve_without_end(
-    listening: socket.socket, first: bytes, rest: bytes
-) -> None:
-    """Sends bytes without end on each of the expected connections."""
-    # So large that many heads or chunks arrive at once.
-    piece = rest * (262_144 // len(rest) + 1)
-
-    def send(connection: socket.socket) -> None:
-        with connection, contextlib.suppress(OSError):
-            connection.recv(1_000)
-            connection.sendall(first)
-            for _ in range(_ENDLESS_BYTES // len(piece)):
-                connection.sendall(piece)
-
-    with contextlib.suppress(OSError):
-        for _ in range(_ENDLESS_CONNECTIONS):
-            accepted, _ = listening.accept()
-            threading.Thread(target=send, args=(accepted,), daemon=True).start()
-
-
 async def _exchange(pool: gateway.ServerPool) -> gateway.RawAnswer:
     connection = await pool.acquire(5_000.0)
     try:
@@ -139,7 +94,7 @@
             self.assertEqual(pool.open_count, 0)
 
     async def test_answers_without_end_are_lost_and_closed(self) -> None:
-        for name, (first, rest) in _ENDLESS.items():
+        for name, (first, rest) in _endlessservers.ENDLESS.items():
             with self.subTest(name):
                 memory = gateway.create_answer_memory(_LIMITS)
                 server = await self.start(
@@ -185,32 +140,23 @@
     async def test_servers_without_end_do_not_hold_up_other_requests(
         self,
     ) -> None:
-        for name, (first, rest) in _ENDLESS.items():
+        for name, (first, rest) in _endlessservers.ENDLESS.items():
             with self.subTest(name):
                 worst_s = await self._measure_beside(first, rest)
                 self.assertLess(worst_s, _READ_S)
 
     async def _measure_beside(self, first: bytes, rest: bytes) -> float:
         """Returns the longest exchange beside answers without end, in s."""
-        listening = socket.create_server(
-            ("127.0.0.1", 0), backlog=_ENDLESS_CONNECTIONS
-        )
-        self.addCleanup(listening.close)
-        threading.Thread(
-            target=_serve_without_end,
-            args=(listening, first, rest),
-            daemon=True,
-        ).start()
-        endless_port = listening.getsockname()[1]
+        server = _endlessservers.start_endless_server(self, first, rest)
         endless = gateway.create_server_pool(
             base.create_clock(),
-            f"127.0.0.1:{endless_port}",
-            _ENDLESS_CONNECTIONS,
+            server.address,
+            _endlessservers.CONNECTIONS,
             gateway.create_answer_memory(),
         )
         calls = [
             asyncio.create_task(_exchange(endless))
-            for _ in range(_ENDLESS_CONNECTIONS)
+            for _ in range(_endlessservers.CONNECTIONS)
         ]
         worst_s = 0.0
         while not all(call.done() for call in calls):
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -9,6 +9,9 @@
 from cowslipvalve_model._calls import Ticket
 from cowslipvalve_model._calls import OrderAnswer
 from cowslipvalve_model._calls import ErrorAnswer
+from cowslipvalve_base import AnswerLimits
+from cowslipvalve_base import AnswerMemory
+from cowslipvalve_base import create_answer_memory
 from cowslipvalve_base import load_settings
 from cowslipvalve_base import split_address
 from cowslipvalve_base import Clock
@@ -101,6 +104,8 @@
 
 __all__ = [
     "AlreadyExistsError",
+    "AnswerLimits",
+    "AnswerMemory",
     "BackendServer",
     "BackendServerSpec",
     "BackendServerStatus",
@@ -185,6 +190,7 @@
     "from_plain_strict",
     "compute_full_delta",
     "compute_delta",
+    "create_answer_memory",
     "create_clock",
     "create_cutoff",
     "decode",
