Answer requests of connections that cowslipvalved accepts as it stops

Cause: aiohttp's cleanup marks connections accepted in the same turn as closing, reads their requests and drops them; asyncio forgets connections accepted as their server closes.

Change: the daemon listens through Listeners, as the hosts on the platform do; it moves to the base package with its tests and takes applications and TLS contexts too. A taken address still ends the daemon at once.

--- a/packages/base/cowslipvalve_base/__init__.py
+++ b/packages/base/cowslipvalve_base/__init__.py
@@ -38,6 +38,10 @@
 from cowslipvalve_base._files import decode_settings
 from cowslipvalve_base._files import load_settings
 from cowslipvalve_base._files import read_settings
+from cowslipvalve_base._listeners import AddressError
+from cowslipvalve_base._listeners import Listeners
+from cowslipvalve_base._listeners import Server
+from cowslipvalve_base._listeners import create_listeners
 from cowslipvalve_base._outcomes import Outcome
 from cowslipvalve_base._outcomes import Reason
 from cowslipvalve_base._outcomes import RETRYABLE_REASONS
@@ -47,6 +51,7 @@
 from cowslipvalve_base._texts import TextEnum
 
 __all__ = [
+    "AddressError",
     "AlreadyExistsError",
     "AnswerLimits",
     "AnswerMemory",
@@ -57,6 +62,7 @@
     "CutOffError",
     "Cutoff",
     "InputError",
+    "Listeners",
     "NotFoundError",
     "NotRunError",
     "Outcome",
@@ -65,6 +71,7 @@
     "RETRYABLE_REASONS",
     "Reason",
     "RequestError",
+    "Server",
     "SettingsError",
     "SettingsIncompleteError",
     "TextEnum",
@@ -76,6 +83,7 @@
     "create_answer_memory",
     "create_clock",
     "create_cutoff",
+    "create_listeners",
     "decode",
     "decode_damaged",
     "decode_plain",
--- a/platform/cowslipvalve_adapter/_listeners.py
+++ b/packages/base/cowslipvalve_base/_listeners.py
@@ -3,12 +3,17 @@
 import asyncio
 import errno
 import logging
+import math
 import socket
+import ssl
 from typing import Any
 
 from aiohttp import web
 
-import cowslipvalve_base as base
+from cowslipvalve_base import _addresses
+from cowslipvalve_base import _clock
+from cowslipvalve_base import _errors
+from cowslipvalve_base import _events
 
 # Linux keeps the port of a closed connection for 60 s. SO_REUSEADDR, which
 # asyncio sets, does not help against outgoing connections of other programs.
@@ -26,14 +31,16 @@
 _logger = logging.getLogger(__name__)
 
 
-class AddressError(base.CowslipvalveError):
+class AddressError(_errors.CowslipvalveError):
     """An address cannot be listened on."""
 
 
 class Server(web.Server):
     """An HTTP server that knows when it last accepted a connection."""
 
-    def __init__(self, handler: Any, clock: base.Clock, **options: Any) -> None:
+    def __init__(
+        self, handler: Any, clock: _clock.Clock, **options: Any
+    ) -> None:
         super().__init__(handler, handler_cancellation=True, **options)
         self._clock = clock
         self._last_accepted_ms = float("-inf")
@@ -55,27 +62,34 @@
 class Listeners:
     """Opens listening sockets and closes them in reverse order."""
 
-    def __init__(self, clock: base.Clock, max_wait_ms: float) -> None:
+    def __init__(self, clock: _clock.Clock, max_wait_ms: float) -> None:
         self._clock = clock
         self._end_ms = clock.now_ms() + max_wait_ms
-        self._runners: list[web.ServerRunner] = []
-        self._servers: list[Server] = []
+        self._runners: list[web.BaseRunner] = []
         self._sockets: list[socket.socket] = []
+        self._stopped_ms = math.inf
         self._background: set[asyncio.Task[None]] = set()
 
-    async def open(self, name: str, server: Server, address: str) -> None:
+    async def open(
+        self,
+        name: str,
+        server: Server | web.Application,
+        address: str,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
         """Listens on an address, as soon as it is free.
 
         Args:
           name: What the address is for.
           server: Handles the connections.
           address: The address, HOST:PORT.
+          context: The TLS context, or None without TLS.
 
         Raises:
           AddressError: The address did not get free in time, or cannot be
             listened on.
         """
-        await self._open(name, server, address, self._end_ms)
+        await self._open(name, server, address, self._end_ms, context)
 
     def open_in_background(
         self, name: str, server: Server, address: str
@@ -100,14 +114,22 @@
         while not is_settled:
             # Connections are made some turns after they were accepted.
             await self._clock.sleep_ms(_SETTLE_POLL_MS)
-            is_settled = all(server.is_settled for server in self._servers)
+            is_settled = all(map(self._is_settled, self._runners))
         while self._runners:
             await self._runners.pop().cleanup()
 
+    def _is_settled(self, runner: web.BaseRunner) -> bool:
+        server = runner.server
+        if server is None or isinstance(server, Server):
+            return server is None or server.is_settled
+        stopped_for_ms = self._clock.now_ms() - self._stopped_ms
+        return not server.connections or stopped_for_ms >= _FIRST_REQUEST_MS
+
     async def _stop_accepting(self) -> None:
         loop = asyncio.get_running_loop()
         for listening in self._sockets:
             loop.remove_reader(listening)
+        self._stopped_ms = self._clock.now_ms()
         # asyncio forgets connections that it accepted in this turn if their
         # server is closed before the next one.
         await asyncio.sleep(0)
@@ -116,17 +138,21 @@
                 await site.stop()
 
     async def _open(
-        self, name: str, server: Server, address: str, end_ms: float
+        self,
+        name: str,
+        server: Server | web.Application,
+        address: str,
+        end_ms: float,
+        context: ssl.SSLContext | None = None,
     ) -> None:
-        runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
+        runner = _create_runner(server)
         await runner.setup()
         self._runners.append(runner)
-        self._servers.append(server)
         started_ms = self._clock.now_ms()
         is_waiting = False
         while True:
             try:
-                self._sockets.append(await _open_once(runner, address))
+                self._sockets.append(await _open_once(runner, address, context))
                 break
             # A host name that cannot be encoded is a ValueError.
             except (OSError, ValueError) as error:
@@ -137,7 +163,7 @@
                         step="listen",
                     ) from error
                 if not is_waiting:
-                    base.log_event(
+                    _events.log_event(
                         _logger,
                         "address-awaited",
                         logging.WARNING,
@@ -147,7 +173,7 @@
                 is_waiting = True
             await self._clock.sleep_ms(_RETRY_MS)
         if is_waiting:
-            base.log_event(
+            _events.log_event(
                 _logger,
                 "address-free",
                 name=name,
@@ -160,7 +186,7 @@
         try:
             await self._open(name, server, address, float("inf"))
         except AddressError as error:
-            base.log_event(
+            _events.log_event(
                 _logger, "address-not-usable", logging.ERROR, error=error
             )
 
@@ -169,11 +195,23 @@
     return isinstance(error, OSError) and error.errno in _PASSING_ERRORS
 
 
-async def _open_once(runner: web.ServerRunner, address: str) -> socket.socket:
+def _create_runner(server: Server | web.Application) -> web.BaseRunner:
+    if isinstance(server, web.Application):
+        return web.AppRunner(
+            server, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        )
+    return web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
+
+
+async def _open_once(
+    runner: web.BaseRunner, address: str, context: ssl.SSLContext | None
+) -> socket.socket:
     listening = socket.create_server(
-        base.split_address(address), backlog=_BACKLOG
+        _addresses.split_address(address), backlog=_BACKLOG
+    )
+    site = web.SockSite(
+        runner, listening, backlog=_BACKLOG, ssl_context=context
     )
-    site = web.SockSite(runner, listening, backlog=_BACKLOG)
     try:
         await site.start()
     except BaseException:
@@ -184,7 +222,7 @@
 
 
 def create_listeners(
-    clock: base.Clock, max_wait_ms: float = _MAX_WAIT_MS
+    clock: _clock.Clock, max_wait_ms: float = _MAX_WAIT_MS
 ) -> Listeners:
     """Returns the listening sockets of a host, none of which is open.
 
--- /dev/null
+++ b/packages/base/cowslipvalve_base/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared base."""
--- a/platform/cowslipvalve_adapter/tests/test_listeners.py
+++ b/packages/base/cowslipvalve_base/tests/test_listeners.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 
 import cowslipvalve_base as base
-from cowslipvalve_adapter import _listeners
 
 _MAX_WAIT_MS = 150.0
 _LOSS_S = 0.2  # Callers consider a later close a lost request.
@@ -18,19 +17,23 @@
     return web.Response()
 
 
+def _create_server() -> base.Server:
+    return base.Server(_handle, base.create_clock())
+
+
+def _create_application() -> web.Application:
+    application = web.Application()
+    application.router.add_get("/", _handle)
+    return application
+
+
 class ListenersTest(unittest.IsolatedAsyncioTestCase):
 
     async def open(self, address: str) -> None:
         """Listens on an address until the end of the test."""
-        listeners = _listeners.create_listeners(
-            base.create_clock(), _MAX_WAIT_MS
-        )
+        listeners = base.create_listeners(base.create_clock(), _MAX_WAIT_MS)
         self.addAsyncCleanup(listeners.close)
-        await listeners.open(
-            "callers",
-            _listeners.Server(_handle, base.create_clock()),
-            address,
-        )
+        await listeners.open("callers", _create_server(), address)
 
     async def test_wait_for_an_address_ends(self) -> None:
         listening = socket.create_server(("127.0.0.1", 0))
@@ -47,8 +50,8 @@
         for name, address in cases.items():
             with (
                 self.subTest(name),
-                self.assertLogs("cowslipvalve_adapter") as logs,
-                self.assertRaisesRegex(_listeners.AddressError, address),
+                self.assertLogs("cowslipvalve_base") as logs,
+                self.assertRaisesRegex(base.AddressError, address),
             ):
                 await self.open(address)
             self.assertEqual(len(logs.output), 1)
@@ -69,30 +72,31 @@
         self,
     ) -> None:
         # aiohttp read and dropped it, and closed 0.5 s later without an answer.
-        served = 0
-        for turns in range(8):
-            with self.subTest(turns=turns):
-                is_served, took_s = await self._call_at_the_end(turns)
-                self.assertTrue(is_served or took_s < _LOSS_S, took_s)
-                served += is_served
-        self.assertGreaterEqual(served, 4)
-
-    async def _call_at_the_end(self, turns: int) -> tuple[bool, float]:
+        for create in (_create_server, _create_application):
+            served = 0
+            for turns in range(8):
+                with self.subTest(create.__name__, turns=turns):
+                    is_served, took_s = await self._call_at_the_end(
+                        create(), turns
+                    )
+                    self.assertTrue(is_served or took_s < _LOSS_S, took_s)
+                    served += is_served
+            self.assertGreaterEqual(served, 4)
+
+    async def _call_at_the_end(
+        self, server: base.Server | web.Application, turns: int
+    ) -> tuple[bool, float]:
         """Connects, ends the host after some turns of the loop, and calls.
 
         Returns whether the request was answered, and when its connection was
         closed, in s after the request.
         """
         clock = base.create_clock()
-        listeners = _listeners.create_listeners(clock, _MAX_WAIT_MS)
+        listeners = base.create_listeners(clock, _MAX_WAIT_MS)
         probe = socket.create_server(("127.0.0.1", 0))
         address = probe.getsockname()
         probe.close()
-        await listeners.open(
-            "callers",
-            _listeners.Server(_handle, clock),
-            f"{address[0]}:{address[1]}",
-        )
+        await listeners.open("callers", server, f"{address[0]}:{address[1]}")
         # The kernel completes the connection; the host has not accepted it.
         caller = socket.create_connection(address)
         for _ in range(turns):
--- a/packages/daemon/cowslipvalve_daemon/_daemon.py
+++ b/packages/daemon/cowslipvalve_daemon/_daemon.py
@@ -6,7 +6,6 @@
 import aiohttp
 import attrs
 import mode
-from aiohttp import web
 
 import cowslipvalve_model as model
 import cowslipvalve_peers as peers
@@ -30,6 +29,7 @@
 from cowslipvalve_daemon import _watchers
 
 _LOGGER = logging.getLogger(__name__)
+_ADDRESS_WAIT_MS = 0.0  # The daemon ends, and its supervisor starts it again.
 _DRAIN_POLL_MS = 20
 _FINAL_ANSWERS_WAIT_MS = 100  # For writing the answers to the last requests.
 
@@ -60,7 +60,7 @@
         self._clock = model.create_clock()
         self._components: _Components | None = None
         self._is_stopping = False
-        self._runners: list[web.AppRunner] = []
+        self._listeners = model.create_listeners(self._clock, _ADDRESS_WAIT_MS)
 
     async def on_start(self) -> None:
         """Opens all HTTP interfaces and starts all services."""
@@ -69,15 +69,21 @@
         components.heartbeats.list_unreleased_servers = (
             components.homes.list_unreleased_servers
         )
-        await self._listen(
+        await self._listeners.open(
+            "operations",
             _operationsapi.create_operations_app(self.explain_unready),
             self._settings.operations_address,
         )
-        await self._listen(
-            components.peer_api.create_app(), self._settings.peer_address, True
+        await self._listeners.open(
+            "peers",
+            components.peer_api.create_app(),
+            self._settings.peer_address,
+            components.transport.server_context,
         )
-        await self._listen(
-            components.caller_api.create_app(), self._settings.caller_address
+        await self._listeners.open(
+            "callers",
+            components.caller_api.create_app(),
+            self._settings.caller_address,
         )
         for service in (
             components.heartbeats,
@@ -133,8 +139,7 @@
 
     async def on_stop(self) -> None:
         """Closes all HTTP interfaces."""
-        for runner in reversed(self._runners):
-            await runner.cleanup()
+        await self._listeners.close()
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions, which services use until they stop."""
@@ -142,18 +147,6 @@
             await self._components.transport.session.close()
             await self._components.platform_session.close()
 
-    async def _listen(
-        self, app: web.Application, address: str, is_peer: bool = False
-    ) -> None:
-        assert self._components is not None
-        context = self._components.transport.server_context if is_peer else None
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
-        await runner.setup()
-        host, port = model.split_address(address)
-        site = web.TCPSite(runner, host, port, ssl_context=context)
-        await site.start()
-        self._runners.append(runner)
-
     def _is_busy(self, components: _Components) -> bool:
         return bool(
             components.caller_api.running_requests
--- a/packages/model/cowslipvalve_model/__init__.py
+++ b/packages/model/cowslipvalve_model/__init__.py
@@ -12,6 +12,7 @@
 from cowslipvalve_base import AnswerLimits
 from cowslipvalve_base import AnswerMemory
 from cowslipvalve_base import create_answer_memory
+from cowslipvalve_base import create_listeners
 from cowslipvalve_base import load_settings
 from cowslipvalve_base import split_address
 from cowslipvalve_base import Clock
@@ -193,6 +194,7 @@
     "create_answer_memory",
     "create_clock",
     "create_cutoff",
+    "create_listeners",
     "decode",
     "decode_plain",
     "encode",
