Log which shards of a failed request are missing, and why

One failed in 3 runs of test_crash_and_cooling_without_restart_under_load beside load here, with nothing to tell why.

--- a/packages/daemon/cowslipvalve_daemon/_entries.py
+++ b/packages/daemon/cowslipvalve_daemon/_entries.py
@@ -10,6 +10,7 @@
 import cowslipvalve_policy as policy
 from cowslipvalve_daemon import _configurations
 from cowslipvalve_daemon import _metrics
+from cowslipvalve_daemon import _missingreports
 from cowslipvalve_daemon import _quarantines
 from cowslipvalve_daemon import _querystreams
 from cowslipvalve_daemon import _replicas
@@ -56,6 +57,7 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
+        self._missing_reports = _missingreports.create_missing_reports(clock)
         self._shared_states: dict[str, _SharedSearchState] = {}
 
     def find_search(self, name: str, kind: model.SearchKind) -> model.Search:
@@ -130,7 +132,10 @@
                 run = await self._run_once(
                     search, newer, request, request_id, deadline_ms
                 )
-        return _create_answer(search, view, run, request_id)
+        answer = _create_answer(search, view, run, request_id)
+        if isinstance(answer, model.ErrorAnswer):
+            self._missing_reports.report(request_id, name, run.missing)
+        return answer
 
     async def _wait_for_newer_snapshot(
         self, name: str, view: policy.SnapshotView, deadline_ms: float
--- a/packages/daemon/cowslipvalve_daemon/_shardsenders.py
+++ b/packages/daemon/cowslipvalve_daemon/_shardsenders.py
@@ -51,6 +51,20 @@
             missing=missing,
         )
 
+    @property
+    def missing(self) -> tuple[str, ...]:
+        """Descriptions of the shards that have not answered, for a log line.
+
+        Each has the shard, why its last attempt failed, its retries and the
+        servers that were tried since the last one.
+        """
+        return tuple(
+            f"{shard.index}:{shard.reason}:{shard.budgeted_retries}:"
+            + "+".join(sorted(shard.tried_servers))
+            for shard in self._shards.values()
+            if not shard.is_answered
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Whether any server may have run any part of the request."""
