--- a/packages/backend/cowslipvalve_backend/_client.py
+++ b/packages/backend/cowslipvalve_backend/_client.py
@@ -1,12 +1,12 @@
 """Client of one backend server."""
 
 import asyncio
-import socket
 from typing import Any, TypeVar
 
 import aiohttp
 
 import cowslipvalve_model as model
+from cowslipvalve_backend import _connectors
 from cowslipvalve_backend import _replies
 
 _T = TypeVar("_T")
@@ -14,10 +14,10 @@
 _HTTP_OK = 200
 _STATE_TIMEOUT_MS = 1_000
 _CANCEL_TIMEOUT_MS = 500
-_KEEP_ALIVE_S = 30
-# What has arrived on a connection is parsed in one turn of the event loop, so
-# that many servers that send without end would hold up all others.
-_RECEIVE_BUFFER_BYTES = 16_384
+_REPLY_ERRORS = (
+    _replies.ReplyTooLargeError,
+    _connectors.EndlessResponsesError,
+)
 
 
 class ServerClient:
@@ -95,7 +95,7 @@
             aiohttp.ClientError,
             OSError,
             model.InputError,
-            _replies.ReplyTooLargeError,
+            *_REPLY_ERRORS,
         ) as error:
             raise model.NotRunError(
                 f"the server's state could not be read: {error!r}",
@@ -119,7 +119,7 @@
             TimeoutError,
             aiohttp.ClientError,
             OSError,
-            _replies.ReplyTooLargeError,
+            *_REPLY_ERRORS,
         ):
             return
 
@@ -169,7 +169,7 @@
             raise self._create_unknown_outcome_error(
                 step, "the deadline passed"
             ) from error
-        except _replies.ReplyTooLargeError as error:
+        except _REPLY_ERRORS as error:
             raise self._create_unknown_outcome_error(step, error) from error
         except (aiohttp.ClientError, OSError) as error:
             raise model.CrashedError(
@@ -224,16 +224,6 @@
     return model.ServerReply(reply.boot_id, tuple(checked))
 
 
-def _create_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
-    """Returns a socket that receives little at once."""
-    family, kind, protocol, _, _ = address_info
-    created = socket.socket(family, kind, protocol)
-    created.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-    )
-    return created
-
-
 def create_server_client(
     name: str,
     address: str,
@@ -257,11 +247,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(count_connection)
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=max_connections,
-            keepalive_timeout=_KEEP_ALIVE_S,
-            socket_factory=_create_socket,
-        ),
+        connector=_connectors.create_connector(name, max_connections),
         trace_configs=[trace],
     )
     opened.append(ServerClient(session, name, address, memory))
--- a/packages/backend/cowslipvalve_backend/tests/test_endless_replies.py
+++ b/packages/backend/cowslipvalve_backend/tests/test_endless_replies.py
@@ -1,6 +1,7 @@
 """Tests of servers whose replies have no end."""
 
 import asyncio
+import functools
 import resource
 import time
 import unittest
@@ -12,6 +13,7 @@
 _TIMEOUT_MS = 5_000.0
 _SOUND_TIMEOUT_MS = 60_000.0
 _INFORMATIONAL = "informational responses"
+_HINTS = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 _LIMITS = model.AnswerLimits()
 # The parsers' buffers, and copies of the replies as they are joined.
 _OVERHEAD_BYTES = 2 * _LIMITS.max_total_bytes
@@ -26,10 +28,13 @@
 
 
 async def _serve_reply(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    informational: int = 0,
 ) -> None:
     body = model.encode(model.ServerReply("boot", ()))
-    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    head = _HINTS * informational
+    head += b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
     try:
         while True:
             await reader.readuntil(b"\r\n\r\n")
@@ -76,6 +81,31 @@
         worst_s = await self._measure_beside(_INFORMATIONAL)
         self.assertLess(worst_s, _HEARTBEAT_DEAD_S)
 
+    async def test_few_informational_responses_are_read(self) -> None:
+        listener = await asyncio.start_server(
+            functools.partial(_serve_reply, informational=10), "127.0.0.1", 0
+        )
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        client = backend.create_server_client("i-1", f"127.0.0.1:{port}", 1)
+        self.addAsyncCleanup(client.close)
+        for _ in range(3):
+            await _query(client)
+        self.assertEqual(client.connections_opened, 1)
+
+    async def test_informational_responses_without_end_are_no_answer(
+        self,
+    ) -> None:
+        server = _endlessservers.start_endless_server(
+            self, *_endlessservers.ENDLESS[_INFORMATIONAL]
+        )
+        client = backend.create_server_client("i-0", server.address, 1)
+        self.addAsyncCleanup(client.close)
+        with self.assertRaisesRegex(
+            model.UnknownOutcomeError, "informational responses"
+        ):
+            await _query(client)
+
     async def _measure_beside(self, name: str) -> float:
         """Returns the longest exchange beside replies without end, in s.
 
