Take answers whose status is no HTTP status for malformed

Cause: the parser takes any three digits; those below 200 were taken for informational responses, which a final one follows.

Change: a status outside 100 to 599 ends the exchange; another server is tried if the request may run twice, else the caller gets 502. Relayed answers are checked as well.

--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# All others are invalid (RFC 9110, section 15).
+HTTP_STATUSES = range(100, 600)
+
 
 @attrs.frozen(kw_only=True)
 class CallerRequest:
--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -9,6 +9,7 @@
 import httptools
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _errors
 
 _FIRST_FINAL_STATUS = 200
@@ -268,7 +269,14 @@
             self._is_self_delimiting = True
 
     def on_headers_complete(self) -> None:
-        """Records that the headers are complete."""
+        """Records that the headers are complete.
+
+        Raises:
+          _StopParsingError: The status is no HTTP status.
+        """
+        status = self._parser.get_status_code()
+        if status not in _calls.HTTP_STATUSES:
+            self._stop(f"{status:03d} is no HTTP status")
         self._is_head_complete = True
 
     def on_body(self, body: bytes) -> None:
--- a/packages/gateway/cowslipvalve_gateway/_relaymessages.py
+++ b/packages/gateway/cowslipvalve_gateway/_relaymessages.py
@@ -48,9 +48,13 @@
         """Returns the answer.
 
         Raises:
-          InputError: The body is not whole, or a header has characters that
-            are no bytes.
+          InputError: The status is no HTTP status, the body is not whole, or a
+            header has characters that are no bytes.
         """
+        if self.status not in _calls.HTTP_STATUSES:
+            raise base.InputError(
+                f"{self.status} is no HTTP status", step="read-relay-report"
+            )
         if len(body) != self.body_bytes:
             raise base.InputError(
                 f"{len(body)} of {self.body_bytes} bytes of a body",
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -246,7 +246,7 @@
     body: bytes,
     extra_headers: list[str],
 ) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}"]
+    lines = [f"HTTP/1.1 {status:03d} X", f"Request-Id: {request_id}"]
     if proof:
         lines.append(f"Server-Stamp: {proof}")
     lines += [*extra_headers, f"Content-Length: {len(body)}", "", ""]
