Count a pause of the event loop only while it lasts

Cause: the greatest lag of the last second stood for the present one.

Change: hosts are busy if the last two samples are late; a request that has just been read waited at most for the present lag and the last two samples.

--- a/packages/gateway/cowslipvalve_gateway/_looplags.py
+++ b/packages/gateway/cowslipvalve_gateway/_looplags.py
@@ -12,6 +12,9 @@
 _MAX_SAMPLES = 10
 # The event loop may have caught up since its lag was measured.
 _MAX_LAG_SHARE = 0.5
+# A single pause delays one sample. What came during it is read and handled
+# before the next one.
+_LATEST_SAMPLES = 2
 
 
 class LoopLag(mode.Service):
@@ -30,13 +33,33 @@
 
     @property
     def recent_ms(self) -> float:
-        """The greatest lag of the last second, in ms.
+        """The greatest lag of the last second, in ms."""
+        return max((self._present_ms, *self._samples_ms))
 
-        The lag of a timer that is now overdue counts too, because after a long
-        iteration the event loop reads requests before it runs timers.
+    @property
+    def lasting_ms(self) -> float:
+        """The lag that does not end by itself after one pause, in ms."""
+        if len(self._samples_ms) < _LATEST_SAMPLES:
+            return 0.0
+        return min(self._latest_ms)
+
+    @property
+    def unread_ms(self) -> float:
+        """How long a request that has just been read may have waited, in ms."""
+        return max((self._present_ms, *self._latest_ms))
+
+    @property
+    def _present_ms(self) -> float:
+        """The lag of a timer that is now overdue.
+
+        After a long iteration the event loop reads requests before it runs
+        timers.
         """
-        present_ms = max(0.0, self._clock.now_ms() - self._due_ms)
-        return max((present_ms, *self._samples_ms))
+        return max(0.0, self._clock.now_ms() - self._due_ms)
+
+    @property
+    def _latest_ms(self) -> list[float]:
+        return list(self._samples_ms)[-_LATEST_SAMPLES:]
 
     def compute_wait_ms(self, remaining_ms: float) -> float:
         """Returns how long a request that has just been read waited unread.
@@ -46,7 +69,7 @@
         Args:
           remaining_ms: The time that the request had left when it was sent.
         """
-        return min(self.recent_ms, remaining_ms * _MAX_LAG_SHARE)
+        return min(self.unread_ms, remaining_ms * _MAX_LAG_SHARE)
 
     @mode.Service.task
     @_restarts.restart_on_error
--- a/packages/gateway/cowslipvalve_gateway/_relayadmissions.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayadmissions.py
@@ -39,7 +39,7 @@
             return _hostrefusals.HostRefusalReason.STRANDED
         if self.is_stopping:
             return _hostrefusals.HostRefusalReason.STOPPING
-        is_busy = self._lag.recent_ms > _MAX_LAG_MS
+        is_busy = self._lag.lasting_ms > _MAX_LAG_MS
         if is_busy or self._running >= _MAX_RUNNING:
             return _hostrefusals.HostRefusalReason.BUSY
         return None
--- a/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_decisions.py
@@ -151,6 +151,24 @@
         await asyncio.sleep(0.2)
         self.assertGreater(lag.recent_ms, 400.0)
 
+    async def test_lag_lasts_only_if_it_recurs(self) -> None:
+        lag = gateway.create_loop_lag(base.create_clock())
+        await lag.start()
+        self.addAsyncCleanup(lag.stop)
+        await asyncio.sleep(0.25)
+        time.sleep(0.4)  # noqa: ASYNC251
+        await asyncio.sleep(0.01)
+        self.assertLess(lag.lasting_ms, 100.0)
+        self.assertGreater(lag.unread_ms, 200.0)
+        for _ in range(3):
+            time.sleep(0.4)  # noqa: ASYNC251
+            await asyncio.sleep(0.01)
+        self.assertGreater(lag.lasting_ms, 200.0)
+        # Caught up.
+        await asyncio.sleep(0.25)
+        self.assertLess(lag.lasting_ms, 100.0)
+        self.assertLess(lag.unread_ms, 100.0)
+
 
 class SplitterTest(unittest.TestCase):
 
