Send requests under which servers end to one shard, and judge whole waves

Cause: evidence was counted in time and bounded for single ends, for a fault whose unit is a sending; it was lost with cancelled attempts and dead hosts, and held back until the ends were proven.

Change: the first watchers judge each wave; requests under which three servers ended, or broke off and are being checked, are suspects at all hosts: they go to one shard first, with a permit of one host in 1.5 s. Messages gain fields only.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -138,9 +138,15 @@
 from cowslipvalve_gateway._shardwaits import ShardWaits
 from cowslipvalve_gateway._shardwaits import create_shard_waits
 from cowslipvalve_gateway._fingerprints import compute_fingerprint
+from cowslipvalve_gateway._canarypermits import CanaryPermits
+from cowslipvalve_gateway._canarypermits import create_canary_permits
 from cowslipvalve_gateway._quarantines import Quarantine
 from cowslipvalve_gateway._quarantines import QuarantineEntry
 from cowslipvalve_gateway._quarantines import create_quarantine
+from cowslipvalve_gateway._suspects import Permit
+from cowslipvalve_gateway._suspects import SuspectEntry
+from cowslipvalve_gateway._suspects import SuspectList
+from cowslipvalve_gateway._suspects import create_suspect_list
 from cowslipvalve_gateway._splits import Splitter
 from cowslipvalve_gateway._splits import create_splitter
 from cowslipvalve_gateway._statesources import StateSources
@@ -289,6 +295,12 @@
     "create_notice_client",
     "create_permit_client",
     "create_quarantine",
+    "CanaryPermits",
+    "create_canary_permits",
+    "Permit",
+    "SuspectEntry",
+    "SuspectList",
+    "create_suspect_list",
     "create_rate_limit",
     "create_relay_admission",
     "create_relay_client",
--- a/packages/gateway/cowslipvalve_gateway/_attemptlogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_attemptlogs.py
@@ -1,4 +1,4 @@
-"""Log lines about the attempts of calls."""
+"""Records and log lines of the attempts of calls."""
 
 import logging
 
@@ -6,6 +6,7 @@
 from cowslipvalve_gateway import _attempts
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servers
 
 _logger = logging.getLogger(__name__)
@@ -63,3 +64,18 @@
         kind=attempt.kind,
         requests_per_s=rate_limit.requests_per_s,
     )
+
+
+def record_cancelled(
+    context: _callcontexts.CallContext,
+    request: _calls.CallerRequest,
+    route: _resources.Route,
+    attempt: _attempts.Attempt,
+) -> None:
+    """Records that an attempt was cancelled; one that was not sent is none."""
+    if attempt.sent_ms is None:
+        return
+    context.selector.record_unanswered(
+        route, attempt.view, context.clock.now_ms() - attempt.sent_ms
+    )
+    context.crashes.record_cancelled(attempt.view, request, attempt.is_resent)
--- a/packages/gateway/cowslipvalve_gateway/_attempts.py
+++ b/packages/gateway/cowslipvalve_gateway/_attempts.py
@@ -42,6 +42,9 @@
     extra: _budgets.ExtraAttempt | None
     # Whether the attempt is sent though another one may still be answered.
     is_hedge: bool
+    # Whether a connection to another server broke under the request before, or
+    # may have done so at another host.
+    is_resent: bool
     # How the server's limit allows the attempt.
     admission: _limiters.Admission
     # The task that waits for the answer.
--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -83,6 +83,7 @@
     LOW_COVERAGE = "low-coverage"
     TIMEOUT = "timeout"
     QUARANTINED = "quarantined"
+    SUSPECT = "suspect"
     NO_BUDGET = "no-budget"
 
 
--- a/packages/gateway/cowslipvalve_gateway/_crashhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashhandlers.py
@@ -7,6 +7,7 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _crashreports
 from cowslipvalve_gateway import _crashwatches
+from cowslipvalve_gateway import _suspects
 
 _HTTP_BAD_REQUEST = 400
 
@@ -30,8 +31,13 @@
                 _logger, "crash-report-malformed", logging.WARNING, error=error
             )
             return web.Response(status=_HTTP_BAD_REQUEST, text=str(error))
+        permits = self._watch.permits
         reply = _crashreports.QuarantineList(
-            entries=self._watch.receive(report)
+            entries=self._watch.receive(report),
+            suspects=self._watch.quarantine.suspects.list_entries(),
+            permit=permits.grant(report.canary)
+            if report.canary
+            else _suspects.Permit.GRANTED,
         )
         return web.Response(
             body=base.encode(reply), content_type="application/json"
--- a/packages/gateway/cowslipvalve_gateway/_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashrecords.py
@@ -6,11 +6,14 @@
 """
 
 import collections
+import math
+from collections.abc import Iterable
 
 import attrs
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _quarantines
+from cowslipvalve_gateway import _suspects
 
 _MIN_STRIKES = 3
 # Ends of servers in a shorter time are one strike, as a failure domain's
@@ -21,9 +24,17 @@
 # If two requests always ran together, either may be at fault. One that is not
 # gets an answer or has reached its deadline before so many strikes.
 _AMBIGUOUS_STRIKES = 5
+# A request is at fault for a wave of ends if it ran on so large a share of the
+# servers, and no other one on more than the second share of those.
+_MIN_CULPRIT_SHARE = 0.75
+_MAX_OTHERS_SHARE = 0.75
+# Shorter than other terms, as one wave is less evidence than ends apart.
+_WAVE_QUARANTINE_MS = 60_000.0
 _KEPT_MS = 3_600_000.0
 _MAX_SUSPECTS = 4_096
-_MAX_ENDS_PER_SUSPECT = 64  # Shards of a gathered request end together.
+# Three times the servers of 360 shards, which end together.
+_MAX_ENDS_PER_SUSPECT = 2_048
+_MAX_ENDS = 65_536  # Of all suspects, 16 MB.
 _MAX_SERVERS = 4_096
 
 
@@ -38,6 +49,8 @@
     age_ms: float
     # The fingerprints of the requests that it ran for the reporting host.
     suspects: tuple[str, ...]
+    # Those that came from another server of the service that broke off too.
+    resent: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -48,21 +61,75 @@
     service: str
 
 
+@attrs.frozen(kw_only=True)
+class Evidence:
+    """How much speaks against a request."""
+
+    fingerprint: str
+    # The ends of servers of services that have not answered it.
+    ends: int
+    # How many of the ends count.
+    strikes: int
+    # The services that have answered it.
+    answered: int
+
+
+@attrs.frozen(kw_only=True)
+class Wave:
+    """Servers that ended at about the same time, and the main suspect.
+
+    Servers that fail together don't take the other server of a shard to which a
+    request is then resent; a request that ends each server does. Others that
+    run beside it are not on nearly all of these servers.
+    """
+
+    fingerprint: str
+    # How many servers ended, and on how many of them the suspect ran.
+    servers: int
+    ran_on: int
+    # On how many any other request ran.
+    others_ran_on: int
+    # How many ended after another one of their service, when it was resent.
+    repeated: int
+    # Whether a service has answered it.
+    is_answered: bool
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether the suspect is at fault for the wave."""
+        return (
+            not self.is_answered
+            and self.repeated >= _MIN_STRIKES
+            and self.ran_on >= _MIN_CULPRIT_SHARE * self.servers
+            and self.others_ran_on <= _MAX_OTHERS_SHARE * self.ran_on
+        )
+
+    def create_entry(self) -> _quarantines.QuarantineEntry:
+        """Returns the entry by which the suspect is refused."""
+        return _quarantines.QuarantineEntry(
+            fingerprint=self.fingerprint, remaining_ms=_WAVE_QUARANTINE_MS
+        )
+
+
 @attrs.frozen(eq=False)
 class _End:
     """An end of a server, as all reports tell it."""
 
     service: str
     at_ms: float
+    # All that ran on the server, and those of them that were resent.
+    suspects: set[str] = attrs.field(factory=set)
+    resent: set[str] = attrs.field(factory=set)
 
 
 @attrs.define
 class _Suspect:
     """The evidence against one request."""
 
-    ends: collections.deque[_End]
+    # In the order of their reports.
+    ends: dict[_End, None] = attrs.field(factory=dict)
     # The services that have answered it.
-    answered: set[str]
+    answered: set[str] = attrs.field(factory=set)
 
 
 class CrashRecord:
@@ -74,6 +141,7 @@
         self._suspects: collections.OrderedDict[str, _Suspect] = (
             collections.OrderedDict()
         )
+        self._end_count = 0
         # The latest end of each server, in their order.
         self._ends: collections.OrderedDict[str, _End] = (
             collections.OrderedDict()
@@ -85,18 +153,30 @@
     def add_end(self, end: ServerEnd) -> None:
         """Adds a report of a server's end."""
         found = self._find_end(end)
+        found.suspects.update(end.suspects)
+        found.resent.update(end.resent)
         for fingerprint in end.suspects:
-            suspect = self._suspects.setdefault(
-                fingerprint,
-                _Suspect(
-                    collections.deque(maxlen=_MAX_ENDS_PER_SUSPECT), set()
-                ),
-            )
-            if found not in suspect.ends:
-                suspect.ends.append(found)
+            suspect = self._suspects.setdefault(fingerprint, _Suspect())
             self._suspects.move_to_end(fingerprint)
-        while len(self._suspects) > _MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+            if found in suspect.ends:
+                continue
+            suspect.ends[found] = None
+            self._end_count += 1
+            if len(suspect.ends) > _MAX_ENDS_PER_SUSPECT:
+                self._drop_end(fingerprint, next(iter(suspect.ends)))
+        while (
+            len(self._suspects) > _MAX_SUSPECTS or self._end_count > _MAX_ENDS
+        ):
+            oldest = next(iter(self._suspects))
+            for dropped in list(self._suspects[oldest].ends):
+                self._drop_end(oldest, dropped)
+            del self._suspects[oldest]
+
+    def _drop_end(self, fingerprint: str, end: _End) -> None:
+        del self._suspects[fingerprint].ends[end]
+        end.suspects.discard(fingerprint)
+        end.resent.discard(fingerprint)
+        self._end_count -= 1
 
     def exonerate(self, exoneration: Exoneration) -> None:
         """Discards the evidence of a service that has answered a suspect."""
@@ -104,6 +184,24 @@
         if suspect is not None:
             suspect.answered.add(exoneration.service)
 
+    def list_evidence(self, fingerprints: Iterable[str]) -> list[Evidence]:
+        """Returns the evidence against requests, the strongest first."""
+        found = []
+        for fingerprint in fingerprints:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                continue
+            ends = self._find_unanswered(suspect)
+            found.append(
+                Evidence(
+                    fingerprint=fingerprint,
+                    ends=len(ends),
+                    strikes=_count_strikes(ends),
+                    answered=len(suspect.answered),
+                )
+            )
+        return sorted(found, key=lambda e: (-e.strikes, -e.ends))
+
     def find_convicted(self) -> list[_quarantines.QuarantineEntry]:
         """Returns the requests under which servers end."""
         ends = {
@@ -133,6 +231,40 @@
             )
         return convicted
 
+    @property
+    def wave_age_ms(self) -> float:
+        """How many ms ago the latest known server ended, inf if none has."""
+        latest_ms = max(
+            (end.at_ms for end in self._ends.values()), default=-math.inf
+        )
+        return self._clock.now_ms() - latest_ms
+
+    def find_wave(self) -> Wave | None:
+        """Returns the latest wave of ends, None if no server has ended."""
+        ends = self._find_latest_ends()
+        counts = collections.Counter(f for end in ends for f in end.suspects)
+        if not counts:
+            return None
+        (fingerprint, count), *others = counts.most_common(2)
+        suspect = self._suspects.get(fingerprint)
+        return Wave(
+            fingerprint=fingerprint,
+            servers=len(ends),
+            ran_on=count,
+            others_ran_on=others[0][1] if others else 0,
+            repeated=_count_repeated_ends(fingerprint, ends),
+            is_answered=suspect is None or bool(suspect.answered),
+        )
+
+    def _find_latest_ends(self) -> list[_End]:
+        """Returns the latest ends that are close to each other."""
+        wave: list[_End] = []
+        for end in sorted(self._ends.values(), key=lambda end: -end.at_ms):
+            if wave and wave[-1].at_ms - end.at_ms > _STRIKE_INTERVAL_MS:
+                break
+            wave.append(end)
+        return wave
+
     def _find_end(self, report: ServerEnd) -> _End:
         at_ms = self._clock.now_ms() - report.age_ms
         known = self._ends.get(report.server)
@@ -154,6 +286,25 @@
         }
 
 
+def create_suspect_entries(
+    evidence: Iterable[Evidence],
+) -> list[_suspects.SuspectEntry]:
+    """Creates entries of those under which several servers ended.
+
+    Args:
+      evidence: Evidence against requests, the strongest first.
+
+    Returns:
+      The entries, the worst last.
+    """
+    found = [
+        _suspects.SuspectEntry(fingerprint=each.fingerprint)
+        for each in evidence
+        if each.ends >= _suspects.MIN_ENDS
+    ]
+    return found[::-1]
+
+
 def _count_strikes(ends: set[_End]) -> int:
     strikes = 0
     last_ms = float("-inf")
@@ -164,6 +315,16 @@
     return strikes
 
 
+def _count_repeated_ends(fingerprint: str, wave: Iterable[_End]) -> int:
+    """Returns how many servers ended under a request after one before them."""
+    ended = collections.Counter(
+        end.service for end in wave if fingerprint in end.suspects
+    )
+    return sum(
+        fingerprint in end.resent and ended[end.service] > 1 for end in wave
+    )
+
+
 def create_crash_record(clock: base.Clock) -> CrashRecord:
     """Creates a record without evidence."""
     return CrashRecord(clock)
--- a/packages/gateway/cowslipvalve_gateway/_crashreports.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashreports.py
@@ -6,6 +6,7 @@
 from cowslipvalve_gateway import _crashrecords
 from cowslipvalve_gateway import _hostposts
 from cowslipvalve_gateway import _quarantines
+from cowslipvalve_gateway import _suspects
 
 REPORT_PATH = "/server-ends"
 
@@ -20,6 +21,12 @@
     ends: tuple[_crashrecords.ServerEnd, ...] = ()
     # The answers to suspects of earlier reports.
     exonerations: tuple[_crashrecords.Exoneration, ...] = ()
+    # The fingerprint of a suspect that it wants to send to one shard, if any.
+    canary: str = ""
+    # The requests on which servers broke off that are still being checked.
+    suspects: tuple[_suspects.SuspectEntry, ...] = ()
+    # The suspects that all their services have answered.
+    cleared: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -27,6 +34,10 @@
     """The quarantined requests that a host knows."""
 
     entries: tuple[_quarantines.QuarantineEntry, ...]
+    # The requests that it sends to one shard first.
+    suspects: tuple[_suspects.SuspectEntry, ...] = ()
+    # Whether the suspect of the report may be sent.
+    permit: _suspects.Permit = _suspects.Permit.GRANTED
 
 
 class CrashReportClient:
--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -10,56 +10,50 @@
 import collections
 import logging
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _calls
+from cowslipvalve_gateway import _canarypermits
 from cowslipvalve_gateway import _catalogs
 from cowslipvalve_gateway import _crashrecords
 from cowslipvalve_gateway import _crashreports
 from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _fingerprints
 from cowslipvalve_gateway import _measurements
+from cowslipvalve_gateway import _pendingchecks
 from cowslipvalve_gateway import _quarantines
 from cowslipvalve_gateway import _resources
+from cowslipvalve_gateway import _serverchecks
 from cowslipvalve_gateway import _serverlinks
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _suspects
 from cowslipvalve_gateway import _watcherchoices
 
-# A process that ends may close its listening socket after its connections.
-_CHECK_DELAY_MS = 30.0
-_CHECK_TIMEOUT_MS = 200.0
 # The checks of one report: several shards end under one request.
 _REPORT_DELAY_MS = 50.0
 # The reports of other hosts of the same ends arrive within this time.
 _VERDICT_DELAY_MS = 200.0
 _REPORT_TIMEOUT_MS = 400.0
+# All reports of a wave of ends have arrived or failed by then, also those of
+# hosts that are busy.
+_WAVE_SETTLED_MS = 1_000.0
 _MAX_REPORTED = 1_024
-_MAX_CHECKS = 64  # Each opens a connection.
-_MAX_SUSPECTS_PER_END = 64
-# If no server is reached in this time, it is not known which have ended.
-_MAX_DOUBT_MS = 2_000.0
-_DOUBT_CHECK_MS = 20.0
+# A crowd of requests runs on the servers that end under one of them.
+_MAX_LOGGED = 3
 
 _logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
-class _Check:
-    """A server whose connections broke, and what ran on them."""
-
-    view: _servers.ServerView
-    lost_ms: float
-    suspects: set[str] = attrs.field(factory=set)
-
-
 class CrashWatch:
     """Collects evidence at this host and shares it with others.
 
     Attributes:
       quarantine: The requests that this host refuses.
+      permits: Permits to send suspects to one shard.
     """
 
     def __init__(
@@ -73,6 +67,9 @@
         links: _serverlinks.ServerLinks,
     ) -> None:
         self.quarantine = quarantine
+        self.permits = _canarypermits.create_canary_permits(
+            own, catalog, clock, quarantine, client
+        )
         self._own = own
         self._catalog = catalog
         self._clock = clock
@@ -80,20 +77,28 @@
         self._measurements = measurements
         self._links = links
         self._record = _crashrecords.create_crash_record(clock)
+        # The latest requests whose connections broke.
+        self._lost: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         # The suspects that this host has reported.
         self._reported: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        # The checks in progress by server.
-        self._checks: dict[str, _Check] = {}
+        self._checks = _pendingchecks.create_pending_checks(clock)
         # The checks that found an end, for the next report.
-        self._ends: list[_Check] = []
+        self._ends: list[_pendingchecks.Check] = []
+        # The requests that the checks in progress accuse, for the next report.
+        self._suspected: collections.deque[_suspects.SuspectEntry] = (
+            collections.deque(maxlen=_suspects.MAX_ENTRIES)
+        )
         self._exonerations: set[_crashrecords.Exoneration] = set()
         # The suspects of reports since the last verdict.
         self._accused: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_report_due = False
         self._is_verdict_due = False
+        self._is_wave_verdict_due = False
 
     def blocks(self, request: _calls.CallerRequest, service: str) -> bool:
         """Whether a request must not be sent to the servers of a service."""
@@ -102,34 +107,92 @@
         fingerprint = _fingerprints.compute_fingerprint(request)
         return self.quarantine.blocks(fingerprint, service)
 
+    async def ask_permit(
+        self, request: _calls.CallerRequest
+    ) -> _suspects.Permit:
+        """Returns whether a suspect may be sent."""
+        fingerprint = _fingerprints.compute_fingerprint(request)
+        return await self.permits.ask(fingerprint)
+
+    def is_suspect(self, request: _calls.CallerRequest) -> bool:
+        """Whether servers have ended under a request that is not refused."""
+        if not self.quarantine.suspects:
+            return False
+        fingerprint = _fingerprints.compute_fingerprint(request)
+        return (
+            fingerprint in self.quarantine.suspects
+            and fingerprint not in self.quarantine
+            and fingerprint not in self.quarantine.answered
+        )
+
     def compute_remaining_ms(self, request: _calls.CallerRequest) -> float:
         """Returns for how many ms a request is refused, 0 if it is not."""
         fingerprint = _fingerprints.compute_fingerprint(request)
         return self.quarantine.compute_remaining_ms(fingerprint)
 
     def record_loss(
-        self, view: _servers.ServerView, request: _calls.CallerRequest
+        self,
+        view: _servers.ServerView,
+        request: _calls.CallerRequest,
+        is_resent: bool = False,
+    ) -> None:
+        """Records that a connection broke while a server ran a request.
+
+        Args:
+          view: The server.
+          request: The request.
+          is_resent: Whether it was sent there because the connection to another
+            server had broken.
+        """
+        fingerprint = _fingerprints.compute_fingerprint(request)
+        self._lost[fingerprint] = None
+        while len(self._lost) > _MAX_REPORTED:
+            self._lost.popitem(last=False)
+        self._accuse(view, fingerprint, is_resent)
+
+    def record_cancelled(
+        self,
+        view: _servers.ServerView,
+        request: _calls.CallerRequest,
+        is_resent: bool = False,
     ) -> None:
-        """Records that a connection broke while a server ran a request."""
+        """Records that a request was given up while a server ran it.
+
+        If connections of the request broke, the server may have ended too. The
+        arguments are those of record_loss.
+        """
+        if not self._lost:
+            return
+        fingerprint = _fingerprints.compute_fingerprint(request)
+        if fingerprint in self._lost:
+            self._accuse(view, fingerprint, is_resent)
+
+    def _accuse(
+        self, view: _servers.ServerView, fingerprint: str, is_resent: bool
+    ) -> None:
+        """Checks whether a server has ended under a request."""
         is_ready = view.server.state is _resources.ServerState.READY
         if not is_ready or view.withdrawal.is_leaving:
             return  # It was to end.
-        fingerprint = _fingerprints.compute_fingerprint(request)
         if fingerprint in self.quarantine.answered:
             return
-        name = view.server.instance_id
-        check = self._checks.get(name)
+        check = self._checks.find(view)
         if check is None:
-            if len(self._checks) >= _MAX_CHECKS:
-                base.log_event(
-                    _logger, "server-not-checked", logging.WARNING, server=name
-                )
+            check = self._checks.open(view)
+            if check is None:
                 return
-            check = _Check(view=view, lost_ms=self._clock.now_ms())
-            self._checks[name] = check
             self._start(self._check(check))
-        if len(check.suspects) < _MAX_SUSPECTS_PER_END:
-            check.suspects.add(fingerprint)
+        if self._checks.accuse(check, fingerprint, is_resent):
+            self._suspect(fingerprint)
+
+    def _suspect(self, fingerprint: str) -> None:
+        """Makes a request a suspect for as long as its servers are checked."""
+        entry = _suspects.SuspectEntry(
+            fingerprint=fingerprint, remaining_ms=_serverchecks.MAX_DOUBT_MS
+        )
+        self.quarantine.suspects.add_all([entry])
+        self._suspected.append(entry)
+        self._schedule_report()
 
     def record_part(self, request: _calls.CallerRequest, service: str) -> None:
         """Records that a server of a service has answered a request."""
@@ -146,7 +209,11 @@
     def record_answer(self, request: _calls.CallerRequest) -> None:
         """Records that all services of a request have answered it."""
         fingerprint = _fingerprints.compute_fingerprint(request)
-        self.quarantine.answered.add(fingerprint)
+        answered = self.quarantine.answered
+        is_cleared = fingerprint in answered
+        if fingerprint in self.quarantine.suspects and not is_cleared:
+            self._start(self.permits.clear(fingerprint))
+        answered.add(fingerprint)
 
     def receive(
         self, report: _crashreports.CrashReport
@@ -155,6 +222,9 @@
         for end in report.ends:
             self._record.add_end(end)
             self._accused.update(end.suspects)
+        self.quarantine.suspects.add_all(report.suspects)
+        for fingerprint in report.cleared:
+            self.quarantine.answered.add(fingerprint)
         for exoneration in report.exonerations:
             self._record.exonerate(exoneration)
         if self._accused and not self._is_verdict_due:
@@ -162,51 +232,31 @@
             self._start(self._reach_verdict())
         return self.quarantine.list_entries()
 
-    async def _check(self, check: _Check) -> None:
+    async def _check(self, check: _pendingchecks.Check) -> None:
         """Finds out whether a server has ended or only lost a connection."""
         try:
-            await self._clock.sleep_ms(_CHECK_DELAY_MS)
-            is_ended = await self._is_ended(check)
+            verdict = await _serverchecks.check_server(
+                check.view, check.lost_ms, self._links, self._clock
+            )
         finally:
-            del self._checks[check.view.server.instance_id]
+            self._checks.close(check)
         answered = self.quarantine.answered
         suspects = {name for name in check.suspects if name not in answered}
         base.log_event(
             _logger,
             "connection-broken",
-            server=check.view.server.instance_id,
-            ended=is_ended,
+            server=check.server,
+            verdict=verdict.value,
+            took_ms=round(self._clock.now_ms() - check.lost_ms),
             suspects=",".join(sorted(suspects)),
         )
-        if not is_ended or not suspects:
+        if verdict is not _serverchecks.Verdict.ENDED or not suspects:
             return
         self._measurements.count("servers_ended")
         check.suspects = suspects
         self._ends.append(check)
         self._schedule_report()
 
-    async def _is_ended(self, check: _Check) -> bool:
-        """Whether a server refuses connections while another one is reached.
-
-        To a host that has lost its links all servers seem to have ended.
-        """
-        view = check.view
-        is_proven = self._links.proven_ms > check.lost_ms
-        if not await view.pool.is_refused(_CHECK_TIMEOUT_MS):
-            return False
-        if is_proven or not self._links.has_others(view.link):
-            return True
-        refused_ms = self._clock.now_ms()
-        while self._links.proven_ms <= check.lost_ms:
-            if not view.pool.max_connections:
-                # It was removed meanwhile, which a cut does not do.
-                return view.server.state is _resources.ServerState.READY
-            if self._clock.now_ms() - refused_ms > _MAX_DOUBT_MS:
-                return False
-            await self._clock.sleep_ms(_DOUBT_CHECK_MS)
-        # The links may have been away until now.
-        return await view.pool.is_refused(_CHECK_TIMEOUT_MS)
-
     def _schedule_report(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
@@ -227,10 +277,11 @@
         now_ms = self._clock.now_ms()
         ends = tuple(
             _crashrecords.ServerEnd(
-                server=check.view.server.instance_id,
+                server=check.server,
                 service=check.view.server.service,
                 age_ms=now_ms - check.lost_ms,
                 suspects=tuple(sorted(check.suspects)),
+                resent=tuple(sorted(check.resent & check.suspects)),
             )
             for check in self._ends
         )
@@ -242,8 +293,13 @@
             host=self._own.name,
             ends=ends,
             exonerations=tuple(self._exonerations),
+            suspects=tuple(self._suspected),
         )
+        if report.suspects:
+            names = [entry.fingerprint for entry in report.suspects]
+            base.log_event(_logger, "suspected", fingerprints=",".join(names))
         self._ends = []
+        self._suspected.clear()
         self._exonerations = set()
         return report
 
@@ -260,17 +316,48 @@
             )
             return
         self.quarantine.add_all(found.entries)
+        self.quarantine.suspects.add_all(found.suspects)
 
     async def _reach_verdict(self) -> None:
         await self._clock.sleep_ms(_VERDICT_DELAY_MS)
         self._is_verdict_due = False
+        evidence = self._record.list_evidence(self._accused)
+        for each in evidence[:_MAX_LOGGED]:
+            base.log_event(_logger, "crash-evidence", **attrs.asdict(each))
         convicted = [
             entry
             for entry in self._record.find_convicted()
             if entry.fingerprint in self._accused
         ]
+        found = _crashrecords.create_suspect_entries(evidence)
+        self.quarantine.suspects.add_all(found)
         self._accused = set()
-        for fingerprint in self.quarantine.add_all(convicted):
+        self._quarantine(convicted)
+        if not self._is_wave_verdict_due and self._is_first_watcher():
+            self._is_wave_verdict_due = True
+            self._start(self._reach_wave_verdict())
+
+    async def _reach_wave_verdict(self) -> None:
+        """Waits until a wave of ends is over, and judges it."""
+        while (age_ms := self._record.wave_age_ms) < _WAVE_SETTLED_MS:
+            await self._clock.sleep_ms(_WAVE_SETTLED_MS - age_ms)
+        self._is_wave_verdict_due = False
+        wave = self._record.find_wave()
+        if wave is None or not wave.repeated:
+            return
+        base.log_event(_logger, "ends-together", **attrs.asdict(wave))
+        if wave.is_explained:
+            self._quarantine([wave.create_entry()])
+
+    def _is_first_watcher(self) -> bool:
+        """Whether this host gets the reports of all others."""
+        watchers = _watcherchoices.choose_first_watchers(self._catalog.hosts)
+        return self._own.state_address in watchers
+
+    def _quarantine(
+        self, entries: Iterable[_quarantines.QuarantineEntry]
+    ) -> None:
+        for fingerprint in self.quarantine.add_all(entries):
             self._measurements.count("quarantined")
             base.log_event(
                 _logger,
--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 
+import attrs
+
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
@@ -43,7 +45,17 @@
         request: _calls.CallerRequest,
         route: _resources.Route,
         deadline_ms: float,
+        first: _groupcalls.Parts | None = None,
     ) -> None:
+        """Creates a fan-out that is not started.
+
+        Args:
+          context: The state that all calls share.
+          request: The caller's request.
+          route: The request's route.
+          deadline_ms: When to give up, on the process's clock.
+          first: Parts of shards that were asked before, if any.
+        """
         self._context = context
         self._request = request
         self._route = route
@@ -55,7 +67,12 @@
         }
         planner = context.catalog.planner
         groups = planner.find_groups(route.shards) if planner else ()
-        direct = () if groups else route.shards
+        shards = route.shards
+        if first is not None:
+            shards = tuple(s for s in shards if s not in first.shards)
+            groups = _retain_shards(groups, shards)
+            cut_off = {s: None for s in cut_off if s in shards}
+        direct = () if groups else shards
         if cut_off and not groups:
             direct = tuple(s for s in direct if s not in cut_off)
             groups = _create_detour_groups(tuple(cut_off))
@@ -89,6 +106,8 @@
             )
             for service in direct
         ]
+        if first is not None:
+            self.add_parts(first)
 
     @property
     def attempts(self) -> int:
@@ -268,6 +287,16 @@
             group_call.abandon()
 
 
+def _retain_shards(
+    groups: tuple[_groupplans.ShardGroup, ...], shards: Collection[str]
+) -> tuple[_groupplans.ShardGroup, ...]:
+    retained = (
+        attrs.evolve(g, shards=tuple(s for s in g.shards if s in shards))
+        for g in groups
+    )
+    return tuple(group for group in retained if group.shards)
+
+
 def _create_detour_groups(
     shards: tuple[str, ...],
 ) -> tuple[_groupplans.ShardGroup, ...]:
--- a/packages/gateway/cowslipvalve_gateway/_gateways.py
+++ b/packages/gateway/cowslipvalve_gateway/_gateways.py
@@ -5,12 +5,16 @@
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _admissions
 from cowslipvalve_gateway import _callcontexts
+from cowslipvalve_gateway import _canaries
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _fanouts
+from cowslipvalve_gateway import _groupcalls
+from cowslipvalve_gateway import _refusals
 from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _singlecalls
 from cowslipvalve_gateway import _splits
 from cowslipvalve_gateway import _stopplans
+from cowslipvalve_gateway import _suspects
 
 _STARTUP_WAIT_MS = 200.0  # Most listings of the state take less time.
 # A starting host reads its state within this time.
@@ -92,15 +96,28 @@
             if not plan.has_time_for(route, now_ms, deadline_ms):
                 return _refuse_stopping()
             deadline_ms = min(deadline_ms, plan.end_ms)
+        if route.is_fan_out:
+            refusal = _admissions.refuse_fan_out(self._context, request, route)
+            if refusal is not None:
+                return refusal
+        permit = await _canaries.obtain_permit(self._context, request)
+        if permit is _suspects.Permit.DENIED:
+            return _refusals.create_refusal(_calls.RefusalReason.SUSPECT, False)
         if not route.is_fan_out:
             service = self._splitter.choose(route)
             return await _singlecalls.call_single(
                 self._context, request, route, service, deadline_ms
             )
-        refusal = _admissions.refuse_fan_out(self._context, request, route)
-        if refusal is not None:
-            return refusal
-        fan_out = _fanouts.FanOut(self._context, request, route, deadline_ms)
+        first: _groupcalls.Parts | _calls.Refusal | None = None
+        if permit is _suspects.Permit.GRANTED:
+            first = await _canaries.ask_one_shard(
+                self._context, request, route, deadline_ms
+            )
+        if isinstance(first, _calls.Refusal):
+            return first
+        fan_out = _fanouts.FanOut(
+            self._context, request, route, deadline_ms, first
+        )
         outcome = await fan_out.run()
         unanswered = fan_out.unanswered
         if unanswered:
--- a/packages/gateway/cowslipvalve_gateway/_limithandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_limithandlers.py
@@ -60,7 +60,11 @@
             _logger, "limits-told", peer=query.host, count=len(limits.limits)
         )
         return _create_response(
-            attrs.evolve(limits, quarantined=self._quarantine.list_entries())
+            attrs.evolve(
+                limits,
+                quarantined=self._quarantine.list_entries(),
+                suspects=self._quarantine.suspects.list_entries(),
+            )
         )
 
 
--- a/packages/gateway/cowslipvalve_gateway/_limitnotices.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitnotices.py
@@ -5,6 +5,7 @@
 
 from cowslipvalve_gateway import _hostposts
 from cowslipvalve_gateway import _quarantines
+from cowslipvalve_gateway import _suspects
 
 NOTICE_PATH = "/limit"
 QUERY_PATH = "/limits"
@@ -36,6 +37,8 @@
 
     limits: tuple[LimitNotice, ...]
     quarantined: tuple[_quarantines.QuarantineEntry, ...] = ()
+    # Those that it sends to one shard first.
+    suspects: tuple[_suspects.SuspectEntry, ...] = ()
 
 
 class NoticeClient:
--- a/packages/gateway/cowslipvalve_gateway/_limitreaders.py
+++ b/packages/gateway/cowslipvalve_gateway/_limitreaders.py
@@ -118,6 +118,7 @@
             return
         self._news.receive_all(limits)
         self._quarantine.add_all(limits.quarantined)
+        self._quarantine.suspects.add_all(limits.suspects)
         base.log_event(
             _logger,
             "limits-read",
--- a/packages/gateway/cowslipvalve_gateway/_quarantines.py
+++ b/packages/gateway/cowslipvalve_gateway/_quarantines.py
@@ -10,6 +10,7 @@
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _answeredrequests
+from cowslipvalve_gateway import _suspects
 
 # How long a request is refused. If it then ends a server again, the earlier
 # evidence still counts, so that it is refused for as long again at once.
@@ -43,11 +44,13 @@
     Attributes:
       answered: The requests that this host refuses in no case, as their servers
         have answered them.
+      suspects: The requests that it sends to one shard first.
     """
 
     def __init__(self, clock: base.Clock) -> None:
         self._clock = clock
         self.answered = _answeredrequests.create_answered_requests()
+        self.suspects = _suspects.create_suspect_list(clock)
         # By fingerprint, the earliest first.
         self._terms: dict[str, _Term] = {}
 
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -11,6 +11,7 @@
 from cowslipvalve_gateway import _restores
 from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _stores
+from cowslipvalve_gateway import _suspects
 
 _STORE_RETURN_GRACE_MS = 2_500.0  # Lapsed registrations are renewed within 2 s.
 _MAX_AGE_MS = 3_600_000.0  # JSON and logs cannot represent infinity.
@@ -45,6 +46,8 @@
     # For how many ms the store has answered the sender without a long gap; 0
     # if it does not or the sender cannot tell.
     reached_ms: float = 0.0
+    # The requests that all hosts send to one shard first.
+    suspects: tuple[_suspects.SuspectEntry, ...] = ()
 
 
 class StateReplica:
@@ -180,7 +183,8 @@
             self.apply_listing(update.kind, update.listing)
 
     def apply_quarantine(self, message: StateMessage) -> None:
-        """Applies only the quarantined requests of a message."""
+        """Applies only the quarantined requests and suspects of a message."""
+        self.quarantine.suspects.add_all(message.suspects)
         for fingerprint in self.quarantine.add_all(message.quarantined):
             base.log_event(
                 _logger, "quarantine-learned", fingerprint=fingerprint
@@ -205,6 +209,7 @@
             version=self.catalog.get_table_version(),
             quarantined=self.quarantine.list_entries(),
             reached_ms=min(self.contact.reached_ms, _MAX_AGE_MS),
+            suspects=self.quarantine.suspects.list_entries(),
         )
 
     def _compute_remaining_grace_ms(self) -> float:
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -75,6 +75,8 @@
         # Asking for permits to several servers would keep the caller waiting.
         self._may_ask_permit = True
         self._is_counted = False
+        self._is_broken = repeat is not None
+        self._was_suspect = context.crashes.is_suspect(request)
         self.service = service
         self.answer: _calls.ServerAnswer | None = None
         self.reason = _calls.RefusalReason.NO_SERVER
@@ -171,10 +173,9 @@
         if self._context.crashes.blocks(self._request, self.service):
             self.reason = _calls.RefusalReason.QUARANTINED
             return False
-        if self._is_cut_off:
-            return False
         unsent = sum(1 for a in self._running if a.sent_ms is None)
-        if self.attempts + unsent >= self._route.max_attempts:
+        is_used_up = self.attempts + unsent >= self._route.max_attempts
+        if is_used_up or self._is_cut_off:
             return False
         view = self._context.selector.choose(
             self._route,
@@ -197,6 +198,7 @@
             view=view,
             extra=extra,
             is_hedge=is_hedge,
+            is_resent=self._is_broken,
             admission=self._context.limiter.admit(view),
         )
         view.record_send()
@@ -239,7 +241,9 @@
         ) as error:
             self._handle_error(attempt, error)
         except asyncio.CancelledError:
-            self._record_unanswered(attempt)
+            _attemptlogs.record_cancelled(
+                self._context, self._request, self._route, attempt
+            )
             raise
         else:
             self.has_run = True
@@ -276,15 +280,6 @@
                 _hedgedelays.compute_hedge_delay_ms(self._route, latencies)
             )
 
-    def _record_unanswered(self, attempt: _attempts.Attempt) -> None:
-        """Records a sent attempt that was cancelled."""
-        if attempt.sent_ms is not None:
-            self._context.selector.record_unanswered(
-                self._route,
-                attempt.view,
-                self._context.clock.now_ms() - attempt.sent_ms,
-            )
-
     def _accept_answer(
         self, attempt: _attempts.Attempt, answer: _calls.ServerAnswer
     ) -> None:
@@ -315,7 +310,10 @@
         if isinstance(error, _errors.LostAnswerError):
             self.has_run = True
         if isinstance(error, _errors.BrokenConnectionError):
-            self._context.crashes.record_loss(attempt.view, self._request)
+            self._is_broken = True
+            self._context.crashes.record_loss(
+                attempt.view, self._request, attempt.is_resent
+            )
         self._handle_failure(attempt, _failures.find_reason(error), error)
 
     def _handle_failure(
@@ -358,6 +356,9 @@
         return True
 
     def _may_retry(self) -> bool:
+        # Others go on, as servers that fail together accuse many requests.
+        if self._is_broken and self._was_suspect:
+            return False
         return self._route.is_idempotent or not self.has_run
 
     def _schedule_hedge(self, delay_ms: float) -> None:
@@ -383,11 +384,10 @@
     def _settle(self) -> None:
         self.is_settled = True
         self._timer.stop()
-        loop = asyncio.get_running_loop()
         for attempt in self._running:
             if attempt.task is not asyncio.current_task() and attempt.task:
                 attempt.view.add_superseded(attempt.task)
-                loop.call_later(
+                asyncio.get_running_loop().call_later(
                     base.to_seconds(_SUPERSEDED_TIMEOUT_MS), attempt.task.cancel
                 )
         self._on_settled(self)
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
@@ -87,6 +87,32 @@
 )
 
 
+@attrs.frozen
+class _Wave:
+    """Servers of shards that end together: the first, then the second ones."""
+
+    name: str
+    culprit: str | None
+    # What runs on the first and on the second server of a shard, by shard.
+    first: str = "ab a a ab a a ab a a a a a"
+    second: str = "a a a"
+    # Which of them are resent from the first to the second server.
+    resent: str = "a b"
+    answered: str = ""
+
+
+_WAVES = (
+    _Wave("one request on all servers, resent to some", "a"),
+    _Wave("no request was resent", None, resent=""),
+    _Wave("too few were resent", None, second="a a"),
+    _Wave(
+        "two requests on all servers", None, first="ab " * 6, second="ab ab ab"
+    ),
+    _Wave("servers on which it did not run", None, first="a a b b c c b a"),
+    _Wave("a service has answered it", None, answered="a"),
+)
+
+
 class CrashRecordTest(unittest.TestCase):
 
     def setUp(self) -> None:
@@ -108,6 +134,41 @@
         """Returns the fingerprints of the convicted requests."""
         return tuple(e.fingerprint for e in self.record.find_convicted())
 
+    def add_wave(self, wave: _Wave) -> None:
+        """Adds the ends of a wave."""
+        for replica, shards in enumerate((wave.first, wave.second)):
+            for number, suspects in enumerate(shards.split()):
+                resent = set(suspects) & set(wave.resent) if replica else set()
+                self.record.add_end(
+                    gateway.ServerEnd(
+                        server=f"s{number}-{replica}",
+                        service=f"x{number}",
+                        age_ms=100.0 - 30.0 * replica,
+                        suspects=tuple(suspects),
+                        resent=tuple(resent),
+                    )
+                )
+
+    def test_request_that_explains_a_wave_of_ends_is_found_at_once(
+        self,
+    ) -> None:
+        for wave in _WAVES:
+            with self.subTest(wave.name):
+                self.setUp()
+                self.add_end("s", "other", "b")
+                self.clock.advance(10_000.0)
+                self.add_wave(wave)
+                for fingerprint in wave.answered:
+                    self.record.exonerate(
+                        gateway.Exoneration(
+                            fingerprint=fingerprint, service="x0"
+                        )
+                    )
+                found = self.record.find_wave()
+                assert found is not None
+                culprit = found.fingerprint if found.is_explained else None
+                self.assertEqual(culprit, wave.culprit)
+
     def test_requests_are_convicted_by_their_own_evidence(self) -> None:
         for case in _CASES:
             with self.subTest(case.name):
@@ -125,6 +186,22 @@
                     )
                 self.assertEqual(self.find_convicted(), case.convicted)
 
+    def test_request_that_ends_hundreds_of_servers_each_time_is_convicted(
+        self,
+    ) -> None:
+        for _ in range(3):
+            for number in range(360):
+                self.add_end(f"s{number}", f"x{number}", "a")
+            self.clock.advance(5_000.0)
+        self.assertEqual(self.find_convicted(), ("a",))
+
+    def test_ends_are_bounded_against_any_number_of_them(self) -> None:
+        for number in range(20_000):
+            suspects = " ".join(f"a{n}" for n in range(64))
+            self.add_end(f"s{number}", "x", suspects)
+        evidence = self.record.list_evidence([f"a{n}" for n in range(64)])
+        self.assertLessEqual(sum(e.ends for e in evidence), 65_536)
+
     def test_service_that_answered_is_spared(self) -> None:
         for number in range(3):
             self.add_end(f"s{number}", "x", "a")
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -1,10 +1,12 @@
 """Tests of what counts as the end of a server under a request."""
 
 import asyncio
+import math
 import unittest
 
 import cowslipvalve_base as base
 import cowslipvalve_gateway as gateway
+from cowslipvalve_gateway import _fingerprints
 from cowslipvalve_gateway import _servers
 
 _OWN = gateway.HostRecord(name="h0", domain="a", state_address="h0")
@@ -19,6 +21,7 @@
     deadline_ms=1.0,
 )
 _ENDED = ("servers_ended", "")
+_RESTART_S = 3.0  # As servers of the users' platform take.
 
 
 class _Client:
@@ -50,12 +53,14 @@
         await self.listener.wait_closed()
 
     def create_view(
-        self, state: gateway.ServerState = gateway.ServerState.READY
+        self,
+        state: gateway.ServerState = gateway.ServerState.READY,
+        instance_id: str = "i-0",
     ) -> _servers.ServerView:
         """Creates the view of the server that the test listens for."""
         port = self.listener.sockets[0].getsockname()[1]
         server = gateway.Server(
-            instance_id="i-0",
+            instance_id=instance_id,
             service="orders",
             address=f"127.0.0.1:{port}",
             domain="a",
@@ -96,6 +101,48 @@
         await asyncio.sleep(0.1)
         self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
 
+    async def test_end_counts_although_no_server_is_reached_for_seconds(
+        self,
+    ) -> None:
+        view, other = self.create_view(), self.create_view()
+        self.listener.close()
+        self.assertEqual(await self.lose(view), 0)
+        await asyncio.sleep(_RESTART_S)
+        other.link.record_reach(self.clock.now_ms(), is_connect=True)
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
+
+    async def test_request_is_a_suspect_before_its_servers_have_provably_ended(
+        self,
+    ) -> None:
+        self.create_view()  # Not reached, as all others.
+        views = [self.create_view(instance_id=f"i-{n}") for n in range(1, 4)]
+        self.listener.close()
+        self.assertEqual(await self.lose(views[0]), 0)
+        self.assertEqual(await self.lose(views[1]), 0)
+        self.assertFalse(self.watch.is_suspect(_REQUEST))
+        self.assertEqual(await self.lose(views[2]), 0)
+        self.assertTrue(self.watch.is_suspect(_REQUEST))
+
+    async def test_servers_that_lost_a_connection_one_by_one_accuse_nobody(
+        self,
+    ) -> None:
+        for number in range(3):
+            view = self.create_view(instance_id=f"i-{number}")
+            self.assertEqual(await self.lose(view), 0)
+            view.pool.close()
+        self.assertFalse(self.watch.is_suspect(_REQUEST))
+
+    def test_suspects_of_a_host_that_ends_before_its_proof_are_kept(
+        self,
+    ) -> None:
+        fingerprint = _fingerprints.compute_fingerprint(_REQUEST)
+        entry = gateway.SuspectEntry(
+            fingerprint=fingerprint, remaining_ms=1_000.0
+        )
+        self.watch.receive(gateway.CrashReport(host="h1", suspects=(entry,)))
+        self.assertTrue(self.watch.is_suspect(_REQUEST))
+
     async def test_answer_to_an_earlier_request_proves_no_link(self) -> None:
         view, other = self.create_view(), self.create_view()
         self.listener.close()
@@ -117,6 +164,25 @@
         for view in (draining, leaving, removed):
             self.assertEqual(await self.lose(view), 0)
 
+    async def test_servers_that_end_under_a_request_that_was_given_up_count(
+        self,
+    ) -> None:
+        view, other = self.create_view(), self.create_view(instance_id="i-1")
+        self.listener.close()
+        self.links.add(view.server).record_reach(math.inf, is_connect=True)
+        self.watch.record_loss(view, _REQUEST)
+        self.watch.record_cancelled(other, _REQUEST)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 2)
+
+    async def test_request_that_broke_no_connection_is_no_suspect(self) -> None:
+        view = self.create_view()
+        self.listener.close()
+        self.links.add(view.server).record_reach(math.inf, is_connect=True)
+        self.watch.record_cancelled(view, _REQUEST)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 0)
+
     async def test_request_that_was_answered_is_no_suspect(self) -> None:
         view = self.create_view()
         self.listener.close()
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -44,9 +44,8 @@
     is_leaving: bool = False
     # The Retry-After of rejections in s; not sent if empty.
     retry_after: str = ""
-    # The body that ends the server as soon as it begins to run it; none if
-    # empty.
-    crash_body: bytes = b""
+    # The bodies that end the server as soon as it begins to run one.
+    crash_bodies: tuple[bytes, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -161,7 +160,7 @@
             )
             return True
         self.executed_requests.append(request)
-        if self.faults.crash_body and request.body == self.faults.crash_body:
+        if request.body in self.faults.crash_bodies:
             self.crash()
             return False
         if not await self._simulate_work(reader, request_id):
