Don't call a fan-out unrun that a shard has answered

What callers saw: a suspect that one shard had answered, while no server of the others was there, was refused as not run (503 with Retry-After).

Cause: the refusal counted the attempts of the fan-out to the other shards only, not the part that it started with.

Change: an answered shard counts as run; the caller gets 502. Fan-outs without such a part are unchanged, as their parts come from their own attempts.

Test, 2 of 2 failing before, 2 of 2 passing since: test_suspect_that_one_shard_has_run_is_not_said_to_be_unrun.

--- a/packages/gateway/cowslipvalve_gateway/_fanouts.py
+++ b/packages/gateway/cowslipvalve_gateway/_fanouts.py
@@ -159,7 +159,7 @@
 
     def _may_have_run(self) -> bool:
         was_sent = any(call.was_sent for call in self._group_calls)
-        return was_sent or self.attempts > 0
+        return was_sent or self.attempts > 0 or bool(self._answered)
 
     async def _wait(self) -> None:
         while not self._is_finished():
