Count the end of a suspect's one server twice

Cause: a suspect that goes to one shard first ended that server, which counted no more than the end of a server on which it happened to run beside others. So a wave of ends and two more sendings were needed, 1.5 s apart, and one more for each report that was lost with its host or is explained by another request.

Change: the host marks the end of the server that a suspect was sent to alone (`canaries` of an end, empty by default), and it counts as two strikes. As before, three servers have to have ended, requests that always ran together need more, and an answered one is no suspect.

Tests, failing without the weight or the mark: CrashRecordTest.test_suspect_that_ ends_the_one_server_it_is_sent_to_is_convicted, CrashWatchTest.test_end_of_the_ one_server_of_a_suspect_is_reported_as_such.

--- a/packages/gateway/cowslipvalve_gateway/_canaries.py
+++ b/packages/gateway/cowslipvalve_gateway/_canaries.py
@@ -51,13 +51,16 @@
         and not context.crashes.blocks(request, shard)
     ]
     refusal = _refusals.create_refusal(_calls.RefusalReason.NO_SERVER, False)
+    fingerprint = _fingerprints.compute_fingerprint(request)
     for shard in random.sample(usable, min(_MAX_SHARDS, len(usable))):
-        outcome = await _fanouts.FanOut(
+        fan_out = _fanouts.FanOut(
             context,
             request,
             attrs.evolve(route, shards=(shard,)),
             deadline_ms,
-        ).run()
+        )
+        with context.crashes.permits.send(fingerprint):
+            outcome = await fan_out.run()
         if isinstance(outcome, _calls.MergedAnswer):
             return _groupcalls.Parts(
                 shards=(shard,), proofs=outcome.proofs, records=outcome.body
--- a/packages/gateway/cowslipvalve_gateway/_canarypermits.py
+++ b/packages/gateway/cowslipvalve_gateway/_canarypermits.py
@@ -5,7 +5,9 @@
 """
 
 import collections
+import contextlib
 import logging
+from collections.abc import Iterator
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _catalogs
@@ -48,6 +50,21 @@
         self._granted_ms: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # The suspects that this host is sending with a permit.
+        self._canaries: set[str] = set()
+
+    def is_canary(self, fingerprint: str) -> bool:
+        """Whether this host is sending a suspect to one server alone."""
+        return fingerprint in self._canaries
+
+    @contextlib.contextmanager
+    def send(self, fingerprint: str) -> Iterator[None]:
+        """Counts a suspect as sent to one server alone meanwhile."""
+        self._canaries.add(fingerprint)
+        try:
+            yield
+        finally:
+            self._canaries.discard(fingerprint)
 
     def grant(self, fingerprint: str) -> _suspects.Permit:
         """Returns whether a suspect may be sent now."""
--- a/packages/gateway/cowslipvalve_gateway/_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashrecords.py
@@ -16,6 +16,9 @@
 from cowslipvalve_gateway import _suspects
 
 _MIN_STRIKES = 3
+# A suspect that is sent to one server alone explains its end better than one of
+# the requests that happened to run there.
+_CANARY_STRIKES = 2
 # Ends of servers in a shorter time are one strike, as a failure domain's
 # servers end together under requests that are not at fault.
 _STRIKE_INTERVAL_MS = 1_000.0
@@ -51,6 +54,8 @@
     suspects: tuple[str, ...]
     # Those that came from another server of the service that broke off too.
     resent: tuple[str, ...] = ()
+    # Those that were sent to this server alone, as suspects.
+    canaries: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -117,9 +122,11 @@
 
     service: str
     at_ms: float
-    # All that ran on the server, and those of them that were resent.
+    # All that ran on the server, and those of them that were resent or sent to
+    # it alone.
     suspects: set[str] = attrs.field(factory=set)
     resent: set[str] = attrs.field(factory=set)
+    canaries: set[str] = attrs.field(factory=set)
 
 
 @attrs.define
@@ -155,6 +162,7 @@
         found = self._find_end(end)
         found.suspects.update(end.suspects)
         found.resent.update(end.resent)
+        found.canaries.update(end.canaries)
         for fingerprint in end.suspects:
             suspect = self._suspects.setdefault(fingerprint, _Suspect())
             self._suspects.move_to_end(fingerprint)
@@ -176,6 +184,7 @@
         del self._suspects[fingerprint].ends[end]
         end.suspects.discard(fingerprint)
         end.resent.discard(fingerprint)
+        end.canaries.discard(fingerprint)
         self._end_count -= 1
 
     def exonerate(self, exoneration: Exoneration) -> None:
@@ -196,7 +205,7 @@
                 Evidence(
                     fingerprint=fingerprint,
                     ends=len(ends),
-                    strikes=_count_strikes(ends),
+                    strikes=_count_strikes(fingerprint, ends),
                     answered=len(suspect.answered),
                 )
             )
@@ -214,7 +223,7 @@
         # What the request with most evidence explains counts against no other.
         for fingerprint in sorted(ends, key=lambda f: -len(ends[f])):
             own = ends[fingerprint] - explained
-            strikes = _count_strikes(own)
+            strikes = _count_strikes(fingerprint, own)
             if strikes < _MIN_STRIKES:
                 continue
             is_ambiguous = any(
@@ -305,14 +314,16 @@
     return found[::-1]
 
 
-def _count_strikes(ends: set[_End]) -> int:
-    strikes = 0
+def _count_strikes(fingerprint: str, ends: set[_End]) -> int:
+    strikes: list[int] = []
     last_ms = float("-inf")
-    for at_ms in sorted(end.at_ms for end in ends):
-        if at_ms - last_ms >= _STRIKE_INTERVAL_MS:
-            strikes += 1
-            last_ms = at_ms
-    return strikes
+    for end in sorted(ends, key=lambda end: end.at_ms):
+        if end.at_ms - last_ms >= _STRIKE_INTERVAL_MS:
+            strikes.append(1)
+            last_ms = end.at_ms
+        if fingerprint in end.canaries:
+            strikes[-1] = _CANARY_STRIKES
+    return sum(strikes)
 
 
 def _count_repeated_ends(fingerprint: str, wave: Iterable[_End]) -> int:
--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -181,7 +181,8 @@
             if check is None:
                 return
             self._start(self._check(check))
-        if self._checks.accuse(check, fingerprint, is_resent):
+        is_canary = self.permits.is_canary(fingerprint)
+        if self._checks.accuse(check, fingerprint, is_resent, is_canary):
             self._suspect(fingerprint)
 
     def _suspect(self, fingerprint: str) -> None:
@@ -276,16 +277,7 @@
 
     def _take_report(self) -> _crashreports.CrashReport:
         now_ms = self._clock.now_ms()
-        ends = tuple(
-            _crashrecords.ServerEnd(
-                server=check.server,
-                service=check.view.server.service,
-                age_ms=now_ms - check.lost_ms,
-                suspects=tuple(sorted(check.suspects)),
-                resent=tuple(sorted(check.resent & check.suspects)),
-            )
-            for check in self._ends
-        )
+        ends = tuple(check.create_end(now_ms) for check in self._ends)
         for end in ends:
             self._reported.update(dict.fromkeys(end.suspects))
         while len(self._reported) > _MAX_REPORTED:
--- a/packages/gateway/cowslipvalve_gateway/_pendingchecks.py
+++ b/packages/gateway/cowslipvalve_gateway/_pendingchecks.py
@@ -10,6 +10,7 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _crashrecords
 from cowslipvalve_gateway import _servers
 from cowslipvalve_gateway import _suspects
 
@@ -28,12 +29,25 @@
     suspects: set[str] = attrs.field(factory=set)
     # Those that came from a server that broke their connections before.
     resent: set[str] = attrs.field(factory=set)
+    # Those that were sent to this server alone, as suspects.
+    canaries: set[str] = attrs.field(factory=set)
 
     @property
     def server(self) -> str:
         """The id of the server."""
         return self.view.server.instance_id
 
+    def create_end(self, now_ms: float) -> _crashrecords.ServerEnd:
+        """Returns the end of the server, for a report at a time."""
+        return _crashrecords.ServerEnd(
+            server=self.server,
+            service=self.view.server.service,
+            age_ms=now_ms - self.lost_ms,
+            suspects=tuple(sorted(self.suspects)),
+            resent=tuple(sorted(self.resent & self.suspects)),
+            canaries=tuple(sorted(self.canaries & self.suspects)),
+        )
+
 
 class PendingChecks:
     """The checks in progress."""
@@ -70,9 +84,21 @@
             if not self._counts[fingerprint]:
                 del self._counts[fingerprint]
 
-    def accuse(self, check: Check, fingerprint: str, is_resent: bool) -> bool:
+    def accuse(
+        self,
+        check: Check,
+        fingerprint: str,
+        is_resent: bool,
+        is_canary: bool,
+    ) -> bool:
         """Records that a request ran on a server.
 
+        Args:
+          check: The check of the server.
+          fingerprint: The request.
+          is_resent: Whether the connection to another server broke under it.
+          is_canary: Whether it was sent to this server alone, as a suspect.
+
         Returns:
           Whether the request has thereby become a suspect.
         """
@@ -82,6 +108,8 @@
         check.suspects.add(fingerprint)
         if is_resent:
             check.resent.add(fingerprint)
+        if is_canary:
+            check.canaries.add(fingerprint)
         if is_known:
             return False
         self._counts[fingerprint] += 1
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
@@ -119,7 +119,9 @@
         self.clock = _clocks.create_manual_clock()
         self.record = gateway.create_crash_record(self.clock)
 
-    def add_end(self, server: str, service: str, suspects: str) -> None:
+    def add_end(
+        self, server: str, service: str, suspects: str, canaries: str = ""
+    ) -> None:
         """Adds an end that a host reports at once."""
         self.record.add_end(
             gateway.ServerEnd(
@@ -127,6 +129,7 @@
                 service=service,
                 age_ms=0.0,
                 suspects=tuple(suspects.split()),
+                canaries=tuple(canaries.split()),
             )
         )
 
@@ -186,6 +189,31 @@
                     )
                 self.assertEqual(self.find_convicted(), case.convicted)
 
+    def test_suspect_that_ends_the_one_server_it_is_sent_to_is_convicted(
+        self,
+    ) -> None:
+        cases = (
+            ("a wave and a canary", "a a", "a", "a", ("a",)),
+            ("a wave and another end", "a a", "a", "", ()),
+            ("a canary, and another end before it", "a", "a", "a", ()),
+            ("a canary that ran beside the other", "ab ab", "a b", "a", ()),
+            (
+                "a server that ended under another canary",
+                "ab ab",
+                "b",
+                "b",
+                "b",
+            ),
+        )
+        for name, wave, last, canaries, convicted in cases:
+            with self.subTest(name):
+                self.setUp()
+                for number, suspects in enumerate(wave.split()):
+                    self.add_end(f"s{number}", "x", " ".join(suspects))
+                self.clock.advance(2_000.0)
+                self.add_end("s9", "x", last, canaries)
+                self.assertEqual(self.find_convicted(), tuple(convicted))
+
     def test_request_that_ends_hundreds_of_servers_each_time_is_convicted(
         self,
     ) -> None:
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import unittest
+from unittest import mock
 
 import cowslipvalve_base as base
 import cowslipvalve_gateway as gateway
@@ -175,6 +176,24 @@
         await asyncio.sleep(0.2)
         self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 2)
 
+    async def test_end_of_the_one_server_of_a_suspect_is_reported_as_such(
+        self,
+    ) -> None:
+        view, other = self.create_view(), self.create_view(instance_id="i-1")
+        fingerprint = _fingerprints.compute_fingerprint(_REQUEST)
+        self.listener.close()
+        self.links.add(view.server).record_reach(math.inf, is_connect=True)
+        with mock.patch.object(self.watch, "receive") as receive:
+            with self.watch.permits.send(fingerprint):
+                self.watch.record_loss(view, _REQUEST)
+            self.watch.record_loss(other, _REQUEST)
+            await asyncio.sleep(0.2)
+        (report,) = receive.call_args.args
+        self.assertEqual(
+            {end.server: end.canaries for end in report.ends},
+            {"i-0": (fingerprint,), "i-1": ()},
+        )
+
     async def test_request_that_broke_no_connection_is_no_suspect(self) -> None:
         view = self.create_view()
         self.listener.close()
