Take a server for ended that is removed as its end is proven

Cause: a host that reaches no server holds back what it saw until one is back. Servers come back as the entries of those that they replace are deleted; if both happened between two looks (200 ms), the check went on to ask the closed pool of the removed server, which refuses nothing, so that the verdict was `alive`.

Test, failing before (0 of 1 end): CrashWatchTest.test_end_counts_although_the_ server_is_removed_as_it_is_proven.

--- a/packages/gateway/cowslipvalve_gateway/_serverchecks.py
+++ b/packages/gateway/cowslipvalve_gateway/_serverchecks.py
@@ -54,11 +54,7 @@
     if is_proven or not links.has_others(view.link):
         return Verdict.ENDED
     refused_ms = clock.now_ms()
-    while links.proven_ms <= lost_ms:
-        if not view.pool.max_connections:
-            # A cut does not remove it.
-            is_ready = view.server.state is _resources.ServerState.READY
-            return Verdict.ENDED if is_ready else Verdict.REMOVED
+    while links.proven_ms <= lost_ms and view.pool.max_connections:
         doubt_ms = clock.now_ms() - refused_ms
         if doubt_ms > MAX_DOUBT_MS:
             return Verdict.UNPROVEN
@@ -67,6 +63,10 @@
             if doubt_ms < _LONG_DOUBT_MS
             else _LONG_DOUBT_CHECK_MS
         )
+    if not view.pool.max_connections:
+        # A cut does not remove it.
+        is_ready = view.server.state is _resources.ServerState.READY
+        return Verdict.ENDED if is_ready else Verdict.REMOVED
     # The links may have been away until now.
     if await view.pool.is_refused(_CHECK_TIMEOUT_MS):
         return Verdict.ENDED
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -113,6 +113,17 @@
         await asyncio.sleep(0.4)
         self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
 
+    async def test_end_counts_although_the_server_is_removed_as_it_is_proven(
+        self,
+    ) -> None:
+        view, other = self.create_view(), self.create_view()
+        self.listener.close()
+        self.assertEqual(await self.lose(view), 0)
+        view.pool.close()
+        other.link.record_reach(self.clock.now_ms(), is_connect=True)
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.measurements.read_counts().get(_ENDED, 0), 1)
+
     async def test_request_is_a_suspect_before_its_servers_have_provably_ended(
         self,
     ) -> None:
