--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashrecords.py
@@ -197,13 +197,7 @@
             ("a wave and another end", "a a", "a", "", ()),
             ("a canary, and another end before it", "a", "a", "a", ()),
             ("a canary that ran beside the other", "ab ab", "a b", "a", ()),
-            (
-                "a server that ended under another canary",
-                "ab ab",
-                "b",
-                "b",
-                "b",
-            ),
+            ("a canary of one of two suspects", "ab ab", "b", "b", ("b",)),
         )
         for name, wave, last, canaries, convicted in cases:
             with self.subTest(name):
@@ -212,7 +206,7 @@
                     self.add_end(f"s{number}", "x", " ".join(suspects))
                 self.clock.advance(2_000.0)
                 self.add_end("s9", "x", last, canaries)
-                self.assertEqual(self.find_convicted(), tuple(convicted))
+                self.assertEqual(self.find_convicted(), convicted)
 
     def test_request_that_ends_hundreds_of_servers_each_time_is_convicted(
         self,
