--- a/standins/cowslipvalve_standins/testrun.py
+++ b/standins/cowslipvalve_standins/testrun.py
@@ -3,8 +3,10 @@
 PATTERN selects the tests whose ids contain it; shell wildcards are allowed.
 Failures of the tests in KNOWN-RED.txt are printed and counted as skipped. The
 last line of the output gives the numbers of passed, failed and skipped tests.
+A test without an end fails the run at once: its name and its stacks come last.
 """
 
+import faulthandler
 import fnmatch
 import gc
 import pathlib
@@ -13,6 +15,9 @@
 import unittest
 
 _KNOWN_RED = "KNOWN-RED.txt"
+# Ten times what the longest test needs on a busy machine; waiting longer would
+# only keep the name of a test that hangs from whoever waits for the verdict.
+_MAX_TEST_S = 300.0
 _TEST_FOLDERS = (
     "packages/*/cowslipvalve_*",
     "platform/cowslipvalve_*",
@@ -33,9 +38,14 @@
         # what was imported and what earlier tests left; hosts freeze, too.
         gc.collect()
         gc.freeze()
+        faulthandler.dump_traceback_later(_MAX_TEST_S, exit=True)
         self._started_s = time.monotonic()
         super().startTest(test)
 
+    def stopTest(self, test: unittest.TestCase) -> None:
+        faulthandler.cancel_dump_traceback_later()
+        super().stopTest(test)
+
     def addSuccess(self, test: unittest.TestCase) -> None:
         super().addSuccess(test)
         self.passed += 1
