Report ends once other hosts are known

Cause: a host that has just started knows no other host for 0.5 to 1.5 s, so that it reported the ends it saw in that time to nobody, and they were lost with it or never counted beside those of others.

Before: CrashWatchTest.test_end_is_reported_once_the_other_hosts_are_known failed (no report).

--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -19,9 +19,9 @@
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _canarypermits
 from cowslipvalve_gateway import _catalogs
+from cowslipvalve_gateway import _crashdeliveries
 from cowslipvalve_gateway import _crashrecords
 from cowslipvalve_gateway import _crashreports
-from cowslipvalve_gateway import _errors
 from cowslipvalve_gateway import _fingerprints
 from cowslipvalve_gateway import _measurements
 from cowslipvalve_gateway import _pendingchecks
@@ -37,7 +37,6 @@
 _REPORT_DELAY_MS = 50.0
 # The reports of other hosts of the same ends arrive within this time.
 _VERDICT_DELAY_MS = 200.0
-_REPORT_TIMEOUT_MS = 400.0
 # All reports of a wave of ends have arrived or failed by then, also those of
 # hosts that are busy.
 _WAVE_SETTLED_MS = 1_000.0
@@ -73,7 +72,9 @@
         self._own = own
         self._catalog = catalog
         self._clock = clock
-        self._client = client
+        self._delivery = _crashdeliveries.create_crash_delivery(
+            own, catalog, clock, quarantine, client
+        )
         self._measurements = measurements
         self._links = links
         self._record = _crashrecords.create_crash_record(clock)
@@ -269,11 +270,7 @@
         self._is_report_due = False
         report = self._take_report()
         self.receive(report)
-        addresses = _watcherchoices.choose_first_watchers(self._catalog.hosts)
-        addresses.discard(self._own.state_address)
-        await asyncio.gather(
-            *(self._send(address, report) for address in sorted(addresses))
-        )
+        await self._delivery.send(report)
 
     def _take_report(self) -> _crashreports.CrashReport:
         now_ms = self._clock.now_ms()
@@ -296,21 +293,6 @@
         self._exonerations = set()
         return report
 
-    async def _send(
-        self, address: str, report: _crashreports.CrashReport
-    ) -> None:
-        try:
-            found = await self._client.report(
-                address, report, _REPORT_TIMEOUT_MS
-            )
-        except _errors.HostUnavailableError as error:
-            base.log_event(
-                _logger, "crash-report-failed", logging.WARNING, error=error
-            )
-            return
-        self.quarantine.add_all(found.entries)
-        self.quarantine.suspects.add_all(found.suspects)
-
     async def _reach_verdict(self) -> None:
         await self._clock.sleep_ms(_VERDICT_DELAY_MS)
         self._is_verdict_due = False
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -25,8 +25,21 @@
 _RESTART_S = 3.0  # As servers of the users' platform take.
 
 
+_OTHER = gateway.HostRecord(name="h1", domain="b", state_address="h1")
+_UNKNOWN_MS = 800.0
+
+
 class _Client:
-    """Takes reports to other hosts, of which there are none."""
+    """Takes reports to other hosts."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, gateway.CrashReport] = {}
+
+    async def report(
+        self, address: str, report: gateway.CrashReport, _timeout_ms: float
+    ) -> gateway.QuarantineList:
+        self.reports[address] = report
+        return gateway.QuarantineList(entries=())
 
 
 class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
@@ -35,13 +48,14 @@
         self.clock = base.create_clock()
         self.measurements = gateway.create_measurements()
         self.links = gateway.create_server_links(self.clock)
-        client: gateway.CrashReportClient = _Client()  # type: ignore[assignment]
+        self.catalog = gateway.create_catalog(self.clock, {})
+        self.client = _Client()
         self.watch = gateway.create_crash_watch(
             _OWN,
-            gateway.create_catalog(self.clock, {}),
+            self.catalog,
             self.clock,
             gateway.create_quarantine(self.clock),
-            client,
+            self.client,  # type: ignore[arg-type]
             self.measurements,
             self.links,
         )
@@ -155,6 +169,23 @@
         self.watch.receive(gateway.CrashReport(host="h1", suspects=(entry,)))
         self.assertTrue(self.watch.is_suspect(_REQUEST))
 
+    async def test_end_is_reported_once_the_other_hosts_are_known(self) -> None:
+        view, other = self.create_view(), self.create_view(instance_id="i-1")
+        self.listener.close()
+        other.link.record_reach(math.inf, is_connect=True)
+        lost_ms = self.clock.now_ms()
+        await self.lose(view)
+        await self.clock.sleep_ms(_UNKNOWN_MS)
+        self.assertEqual(self.client.reports, {})
+        self.catalog.set_hosts({"h0": _OWN, "h1": _OTHER})
+        await asyncio.sleep(0.2)
+        [(address, report)] = self.client.reports.items()
+        self.assertEqual(address, "h1")
+        [end] = report.ends
+        ended_ms = self.clock.now_ms() - lost_ms - end.age_ms
+        self.assertGreaterEqual(ended_ms, 0.0)
+        self.assertLess(ended_ms, _UNKNOWN_MS)
+
     async def test_answer_to_an_earlier_request_proves_no_link(self) -> None:
         view, other = self.create_view(), self.create_view()
         self.listener.close()
