Handle the answers that have arrived before hedging

Cause: SearchRun._wait_until kept its turn when the time had passed.

Change: it gives up three turns then.

Before: test_answers_that_came_in_a_busy_turn_are_not_hedged failed in 2 of 4 cases.

--- a/packages/daemon/cowslipvalve_daemon/_searchruns.py
+++ b/packages/daemon/cowslipvalve_daemon/_searchruns.py
@@ -6,6 +6,7 @@
 
 import cowslipvalve_model as model
 import cowslipvalve_policy as policy
+from cowslipvalve_daemon import _failurereasons
 from cowslipvalve_daemon import _partials
 from cowslipvalve_daemon import _runstates
 from cowslipvalve_daemon import _shardsenders
@@ -14,27 +15,11 @@
 # slow server.
 _MAX_STRAGGLER_SHARE = 0.2
 _MAX_HEDGE_DEFERRALS = 3
+# Turns of the event loop after which an answer that has arrived is handled: it
+# is polled for, read, and its reader wakes up.
+_ARRIVAL_TURNS = 3
 _MAX_BUDGETED_RETRIES = 2  # Per shard of a request.
 _MAX_CANARY_SERVERS = 2  # A body may crash only this many servers.
-# Failures in which the query did not reach the server, or was refused without
-# any work.
-_NO_COST_REASONS = frozenset(
-    {
-        model.Reason.NOT_HOME,
-        model.Reason.OUT,
-        model.Reason.DRAINING,
-        model.Reason.UNREACHABLE,
-        model.Reason.QUEUE_FULL,
-        model.Reason.WARMING,
-        model.Reason.SNAPSHOT_UNAVAILABLE,
-    }
-)
-# Failures that count as evidence that the body crashes servers.
-_CRASH_REASONS = frozenset(
-    {model.Reason.CONNECTION_LOST, model.Reason.QUARANTINED}
-)
-# Losses that are no such evidence, although the server may have run the body.
-_LOSS_REASONS = frozenset({model.Reason.ANSWER_LOST, model.Reason.HOME_LOST})
 
 
 class SearchRun(_shardsenders.ShardSender):
@@ -148,9 +133,9 @@
         shard.reason = result.reason
         if result.outcome is model.Outcome.UNKNOWN:
             shard.may_have_run = True
-        if result.reason in _LOSS_REASONS:
+        if result.reason in _failurereasons.LOSS_REASONS:
             self._lost_servers.add(result.server)
-        if result.reason in _CRASH_REASONS:
+        if result.reason in _failurereasons.CRASH_REASONS:
             self._record_connection_loss(
                 result, result.alone or sent.query.suspect
             )
@@ -294,13 +279,20 @@
         return min(times)
 
     async def _wait_until(self, time_ms: float) -> None:
-        """Waits until a partial answer arrives, at most until a time."""
+        """Waits until a partial answer arrives, at most until a time.
+
+        Answers that arrived before the time are handled first, though the event
+        loop was busy.
+        """
         remaining_ms = time_ms - self._context.clock.now_ms()
-        if remaining_ms > 0:
-            with contextlib.suppress(asyncio.TimeoutError):
+        with contextlib.suppress(asyncio.TimeoutError):
+            if remaining_ms > 0:
                 await asyncio.wait_for(
                     self._updated.wait(), model.to_seconds(remaining_ms)
                 )
+        if self._context.clock.now_ms() >= time_ms:
+            for _ in range(_ARRIVAL_TURNS):
+                await asyncio.sleep(0)
         self._updated.clear()
 
     async def _send_first_attempts(
@@ -371,7 +363,7 @@
                 shard.retry_at_ms = now_ms + _shardsenders.RETRY_DELAY_MS
 
     def _may_retry(self, shard: _runstates.ShardState) -> bool:
-        if shard.reason in _NO_COST_REASONS:
+        if shard.reason in _failurereasons.NO_COST_REASONS:
             return True
         if shard.reason is model.Reason.NO_SERVER:
             return True
@@ -379,7 +371,10 @@
             # No retry leaves. If all servers were tried, they are tried again
             # later; if none is usable, the shard must not wait for ever. Nor
             # may a body that servers end under return to them each time.
-            if not shard.tried_servers or shard.reason in _CRASH_REASONS:
+            if (
+                not shard.tried_servers
+                or shard.reason in _failurereasons.CRASH_REASONS
+            ):
                 shard.budgeted_retries += 1
             return False
         if self._context.budget.take(1) == 0:
@@ -393,6 +388,6 @@
         Without this limit, a shard whose replicas all fail would use up the
         extra-load budget that other requests need for retries and hedges.
         """
-        if shard.reason in _NO_COST_REASONS:
+        if shard.reason in _failurereasons.NO_COST_REASONS:
             return False
         return shard.budgeted_retries >= _MAX_BUDGETED_RETRIES
--- a/packages/daemon/cowslipvalve_daemon/tests/test_retry_charges.py
+++ b/packages/daemon/cowslipvalve_daemon/tests/test_retry_charges.py
@@ -1,6 +1,7 @@
 """Tests of what the retries and hedges of a shard cost."""
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -33,6 +34,8 @@
         # ones are answered.
         self.failures: list[model.Reason | None] = []
         self.usable = set(_SERVERS)
+        # The number of the attempt whose sending takes the hedge delay.
+        self.busy_attempt = 0
         self.budget = policy.create_extra_load_budget(0.01)
         self.clock = model.create_clock()
 
@@ -51,6 +54,8 @@
         result = model.ShardResult(0, server, outcome, failure)
         partial = model.PartialAnswer(query.query_id, query.snapshot, (result,))
         asyncio.get_running_loop().call_soon(sink.handle_partial, partial)
+        if len(self.sent) == self.busy_attempt:
+            time.sleep(model.to_seconds(_HEDGE_DELAY_MS))
 
     def choose(
         self, servers: tuple[str, ...], excluded: set[str]
@@ -124,6 +129,17 @@
         self.assertEqual(run.coverage.missing, (0,))
         self.assertEqual(self.empty_budget(), 2)
 
+    async def test_answers_that_came_in_a_busy_turn_are_not_hedged(
+        self,
+    ) -> None:
+        for failures, attempts in ((0, 1), (1, 2), (2, 3), (10, 3)):
+            with self.subTest(failures=failures):
+                self.sent.clear()
+                self.failures = [model.Reason.MISMATCH] * failures
+                self.busy_attempt = attempts
+                await self.run_search()
+                self.assertEqual(len(self.sent), attempts)
+
     async def test_body_that_a_server_ended_under_is_sent_to_it_once_more(
         self,
     ) -> None:
