Wait for the report in the test of hosts that learn of others

The report was looked for 0.2 s after the other host became known; on a busy machine it may come later, and the test measures the age, not the wait. The assertions are as before.

--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -27,6 +27,7 @@
 
 _OTHER = gateway.HostRecord(name="h1", domain="b", state_address="h1")
 _UNKNOWN_MS = 800.0
+_REPORT_S = 2.0  # Far more than a host waits between two looks.
 
 
 class _Client:
@@ -34,11 +35,13 @@
 
     def __init__(self) -> None:
         self.reports: dict[str, gateway.CrashReport] = {}
+        self.received = asyncio.Event()
 
     async def report(
         self, address: str, report: gateway.CrashReport, _timeout_ms: float
     ) -> gateway.QuarantineList:
         self.reports[address] = report
+        self.received.set()
         return gateway.QuarantineList(entries=())
 
 
@@ -178,7 +181,7 @@
         await self.clock.sleep_ms(_UNKNOWN_MS)
         self.assertEqual(self.client.reports, {})
         self.catalog.set_hosts({"h0": _OWN, "h1": _OTHER})
-        await asyncio.sleep(0.2)
+        await asyncio.wait_for(self.client.received.wait(), _REPORT_S)
         [(address, report)] = self.client.reports.items()
         self.assertEqual(address, "h1")
         [end] = report.ends
