--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -34,6 +35,7 @@
 # What ends the service of a connection.
 _ENDS = (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError)
 _numbers = itertools.count(1)
+_chosen = set()
 
 
 class CannotRunError(Exception):
@@ -41,11 +43,20 @@
 
 
 def choose_port():
-    """Returns a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port of the loopback interface.
+
+    It is below those that Linux gives to outgoing connections, one of which
+    could else take it while its program is not running.
+    """
+    for _ in range(1_000):
+        port = random.randrange(12_000, 32_000)
+        if port in _chosen:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _chosen.add(port)
+            return port
+    raise CannotRunError("no free port")
 
 
 class Record:
