--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,6 @@
-"""An evacuation ends shortly after the zone's searchers have become cold."""
+"""All hosts are killed after they have stopped a crashing request."""
 
 import asyncio
-import bisect
-import collections
-import os
 import pathlib
 import sys
 
@@ -11,102 +8,105 @@
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 import fleet as fleets  # noqa: E402
 
-SHARDS = [f"prices-{number}" for number in range(5)]
-ZONE = "kuopio"
-RATE = 90.0  # Requests a second at all hosts together.
-COLD_PER_S = float(os.environ.get("COLD_PER_S", "2"))
-OVERSHOOT = 1.5
-SLACK = 5
-WARMUP_S = 3.0
-EVACUATION_S = 5.0
-# From the last searcher's entry to the end of the evacuation.
-GAP_S = float(os.environ.get("GAP_S", "0.1"))
+DEADLY = "/orders/7f3a?week=49"
+SEARCHERS = 6
+BACK_S = 2.0  # "back after some seconds"
+INTERVAL_S = 8.0
+KILL_S = 25.0
+DOWN_S = 0.5
+PLAY_S = 80.0
+MAX_RETRIES = 3  # The rule's bound.
 
 
-async def load(fleet, until):
-    tasks = []
-    number = 0
-    start_s = fleet.record.now_s
-    while not until.is_set():
-        host = fleet.hosts[number % len(fleet.hosts)]
-        path = f"/prices/{number:04x}"
-        tasks.append(fleet.spawn(fleet.request, host, "GET", path))
-        number += 1
-        due_s = start_s + number / RATE
-        await asyncio.sleep(max(0.0, due_s - fleet.record.now_s))
-    return await asyncio.gather(*tasks)
+def create_run(play):
+    """Returns what a searcher does with a request."""
+
+    async def run(searcher, request, reader, writer):
+        if request.line.split(" ")[1] != DEADLY:
+            return False
+        await asyncio.sleep(0.01)
+        searcher.crash(BACK_S)
+        return None
+
+    return run
+
+
+async def come(fleet, number, sent):
+    """Sends the request as a client does, which retries once at once."""
+    for attempt in range(2):
+        host = fleet.hosts[(number + attempt) % len(fleet.hosts)]
+        request_id = f"dead{number:04x}{attempt}"
+        sent[request_id] = fleet.record.now_s
+        result = await fleet.request(
+            host, "GET", DEADLY, request_id=request_id
+        )
+        after_s = float(result.headers.get("retry-after", 0))
+        # Clients honour Retry-After up to a third of the time left.
+        if result.is_served or after_s > 1.0:
+            return
+        await asyncio.sleep(after_s)
 
 
-def become_cold(fleet, searcher):
-    store = fleet.store
-    spec = dict(store._objects["servers"][searcher.instance_id]["spec"])
-    spec["warmup-left-ms"] = int(WARMUP_S * 1_000)
-    spec["sequence"] += 1
-    store.put("servers", searcher.instance_id, spec)
-    fleet.record.write(f"searcher {searcher.instance_id} is cold")
-    return fleet.record.now_s
+async def kill_all(fleet, killed_s):
+    """Kills all hosts at once, and starts them again."""
+    await asyncio.sleep(KILL_S)
+    fleet.record.write("all hosts are killed")
+    killed_s.append(fleet.record.now_s)
+    for host in fleet.hosts:
+        host.process.kill()
+    for host in fleet.hosts:
+        await host.process.wait()
+    await asyncio.sleep(DOWN_S)
+    for host in fleet.hosts:
+        await host.start()
+    killed_s.append(fleet.record.now_s)
 
 
 async def play(fleet):
     await fleet.store.start()
-    route = fleets.create_route(
-        "prices",
-        "/prices/",
-        **{
-            "fanout-services": SHARDS,
-            "top-k": 5,
-            "min-part-share": 0.75,
-            "timeout-ms": 800,
-            "target-latency-ms": 150,
-        },
-    )
-    config = fleets.create_config(7, [route], cold=COLD_PER_S)
-    fleet.store.put("config", "main", config)
-    for shard in SHARDS:
-        for zone in ("seinajoki", ZONE):
-            # Searchers of one service differ in speed.
-            work_s = 0.003 if zone == ZONE else 0.02
-            await fleet.add_searcher(shard, zone, work_s=work_s, slots=4)
+    route = fleets.create_route("orders", "/orders/", service="orders")
+    fleet.store.put("config", "main", fleets.create_config(7, [route]))
+    for number in range(SEARCHERS):
+        zone = list(fleets.ZONES)[number % 3]
+        await fleet.add_searcher("orders", zone, run=create_run(fleet))
     await fleet.start_hosts(3)
-    until = asyncio.Event()
-    loading = fleet.spawn(load, fleet, until)
-    await asyncio.sleep(3.0)
-    cold_s = {}
+    begin_s = fleet.record.now_s
+    killed_s = []
+    sent = {}
     if fleet.has_trouble:
-        fleet.store.put("evacuations", ZONE, {})
-        fleet.record.write(f"evacuation of {ZONE} acknowledged")
-        await asyncio.sleep(EVACUATION_S)
-        for searcher in fleet.searchers:
-            if searcher.zone == ZONE:
-                cold_s[searcher.instance_id] = become_cold(fleet, searcher)
-                await asyncio.sleep(0.002)
-        await asyncio.sleep(GAP_S)
-        fleet.store.delete("evacuations", ZONE)
-        fleet.record.write(f"evacuation of {ZONE} taken back")
-    await asyncio.sleep(WARMUP_S)
-    until.set()
-    results = await loading
+        fleet.spawn(kill_all, fleet, killed_s)
+    others = []
+    number = 0
+    while fleet.record.now_s - begin_s < PLAY_S:
+        host = fleet.hosts[number % 3]
+        if number % int(INTERVAL_S * 5) == 0:
+            fleet.spawn(come, fleet, number // int(INTERVAL_S * 5), sent)
+        path = f"/orders/{number:04x}"
+        others.append(fleet.spawn(fleet.request, host, "GET", path))
+        number += 1
+        await asyncio.sleep(0.2)
+    results = await asyncio.gather(*others)
+    crashed = [a for a in fleet.arrivals if a.target == DEADLY]
     served = sum(result.is_served for result in results)
-    fleet.record.tell(f"requests: {len(results)}, served {served}")
-    bound = COLD_PER_S * OVERSHOOT + SLACK
-    times = collections.defaultdict(list)
-    for arrival in fleet.arrivals:
-        begin_s = cold_s.get(arrival.searcher)
-        if begin_s and begin_s < arrival.at_s < begin_s + WARMUP_S:
-            times[arrival.searcher].append(arrival.at_s)
-    most = {
-        name: max(
-            bisect.bisect_left(at_s, start_s + 1.0) - index
-            for index, start_s in enumerate(at_s)
-        )
-        for name, at_s in times.items()
-    }
-    for name, count in sorted(most.items()):
-        fleet.record.tell(
-            f"cold searcher {name}: at most {count} requests in a second,"
-            f" allowed are {bound:.1f}"
-        )
-    return any(count > bound for count in most.values())
+    fleet.record.tell(f"other requests: {len(results)}, served {served}")
+    times = ", ".join(f"{a.at_s - begin_s:.1f}" for a in crashed)
+    fleet.record.tell(f"the request reached searchers after {times} s")
+    third_s = crashed[2].at_s
+    late = set()
+    for arrival in crashed:
+        at_s = sent[arrival.request_id]
+        if at_s <= third_s + fleets.CONTACT_S:
+            continue
+        # Hosts are not in touch until contact-ms after their start.
+        if killed_s and killed_s[0] <= at_s <= killed_s[-1] + fleets.CONTACT_S:
+            continue
+        late.add(arrival.request_id)
+    fleet.record.tell(
+        f"third crash after {third_s - begin_s:.1f} s; sent by hosts in touch"
+        f" later than contact-ms after it, {len(late)} attempts reached"
+        f" searchers, at most {MAX_RETRIES} are allowed"
+    )
+    return len(late) > MAX_RETRIES
 
 
 fleets.run_case(FOLDER, play)
