--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,7 +14,10 @@
 INTERVAL_S = 8.0
 KILL_S = 25.0
 DOWN_S = 0.5
-PLAY_S = 80.0
+PLAY_S = 55.0
+# When the request comes: 20 s at a time.
+WINDOWS_S = ((0.0, 20.0), (30.0, 50.0))
+OTHERS_PER_S = 10
 MAX_RETRIES = 3  # The rule's bound.
 
 
@@ -77,14 +80,18 @@
         fleet.spawn(kill_all, fleet, killed_s)
     others = []
     number = 0
+    next_s = 0.0
     while fleet.record.now_s - begin_s < PLAY_S:
         host = fleet.hosts[number % 3]
-        if number % int(INTERVAL_S * 5) == 0:
-            fleet.spawn(come, fleet, number // int(INTERVAL_S * 5), sent)
+        now_s = fleet.record.now_s - begin_s
+        if now_s >= next_s:
+            if any(start <= next_s < end for start, end in WINDOWS_S):
+                fleet.spawn(come, fleet, int(next_s / INTERVAL_S), sent)
+            next_s += INTERVAL_S
         path = f"/orders/{number:04x}"
         others.append(fleet.spawn(fleet.request, host, "GET", path))
         number += 1
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(1 / OTHERS_PER_S)
     results = await asyncio.gather(*others)
     crashed = [a for a in fleet.arrivals if a.target == DEADLY]
     served = sum(result.is_served for result in results)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,7 @@
 SEARCHERS = 7  # As many as the service of orders has in the site file.
 GREY = 1  # A share of 0.143.
 FAILING_PART = 0.4
+GREY_S = (4.0, 10.5)  # From the first order on.
 ORDERS = 300
 
 
@@ -21,7 +22,11 @@
     generator = random.Random(45)
 
     async def run(searcher, request, reader, writer):
-        if not play.has_trouble or generator.random() >= FAILING_PART:
+        start_s, end_s = GREY_S
+        is_grey = start_s <= play.record.now_s - play.begin_s < end_s
+        if not (play.has_trouble and is_grey):
+            return False
+        if generator.random() >= FAILING_PART:
             return False
         if not await searcher.work(reader):
             return None
@@ -75,6 +80,7 @@
         zone = list(fleets.ZONES)[number % 3]
         await fleet.add_searcher("orders", zone, work_s=0.06, run=run)
     await fleet.start_hosts(3)
+    fleet.begin_s = fleet.record.now_s
     tasks = []
     for number in range(ORDERS):
         tasks.append(fleet.spawn(place, fleet, number))
