Do not tell a caller that an order which ran has not

Cause: from servers only the header states that a request has not run, to callers the status does; answers were passed on by status. For 421 the header was not looked at: the host itself sent such an order to a second server.

A 421 without the header may have run.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -39,6 +39,7 @@
 from cowslipvalve_gateway._errors import UnsentError
 from cowslipvalve_gateway._errors import RejectedError
 from cowslipvalve_gateway._errors import MisdirectedError
+from cowslipvalve_gateway._errors import UnprovenMisdirectionError
 from cowslipvalve_gateway._errors import LostAnswerError
 from cowslipvalve_gateway._errors import HistoryGoneError
 from cowslipvalve_gateway._errors import HostUnavailableError
@@ -262,6 +263,7 @@
     "StateReplica",
     "StateSources",
     "StateStore",
+    "UnprovenMisdirectionError",
     "UnsentError",
     "VolumeFilter",
     "WatcherChoice",
--- a/packages/gateway/cowslipvalve_gateway/_calls.py
+++ b/packages/gateway/cowslipvalve_gateway/_calls.py
@@ -6,6 +6,8 @@
 
 # All others are invalid (RFC 9110, section 15).
 HTTP_STATUSES = range(100, 600)
+# To callers these statuses promise that the request has not run and will not.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @attrs.frozen(kw_only=True)
@@ -55,6 +57,11 @@
         """Whether the status is 2xx and the server sent its proof."""
         return bool(self.proof) and 200 <= self.status < 300  # noqa: PLR2004
 
+    @property
+    def denies_run(self) -> bool:
+        """Whether callers would take it that the request has not run."""
+        return self.status in _NOT_RUN_STATUSES
+
 
 @attrs.frozen(kw_only=True)
 class MergedAnswer:
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -31,6 +31,13 @@
     """The request was sent without a complete answer; it may have run."""
 
 
+class UnprovenMisdirectionError(LostAnswerError):
+    """Another server may have the address, but may also have run the request.
+
+    Its answer does not state that it has not.
+    """
+
+
 class BrokenConnectionError(LostAnswerError):
     """The connection was lost before any byte of an answer."""
 
--- a/packages/gateway/cowslipvalve_gateway/_failures.py
+++ b/packages/gateway/cowslipvalve_gateway/_failures.py
@@ -13,6 +13,12 @@
     _errors.LinkLostError,
 )
 
+# After these the server's address is not used until it registers again.
+MISDIRECTIONS = (
+    _errors.MisdirectedError,
+    _errors.UnprovenMisdirectionError,
+)
+
 
 def is_server_failure(error: Exception | None) -> bool:
     """Whether an error, or a bad answer if there is none, counts as failure."""
--- a/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
+++ b/packages/gateway/cowslipvalve_gateway/_relayhandlers.py
@@ -109,7 +109,7 @@
                     _relaymessages.RelayReport(asked=call.first_server),
                 )
             outcome = _singleoutcomes.create_outcome(
-                self._context, caller_request, call
+                self._context, caller_request, message.route, call
             )
         finally:
             if not call.is_settled:
--- a/packages/gateway/cowslipvalve_gateway/_relays.py
+++ b/packages/gateway/cowslipvalve_gateway/_relays.py
@@ -181,7 +181,7 @@
                     body += report.read_body()
                     last = report
             _departures.record_leaving(self._context.catalog, last.leaving)
-            return _read_result(last, bytes(body))
+            return _read_result(last, bytes(body), self._route)
         except base.InputError as error:
             raise _errors.HostUnavailableError(
                 str(error), step="relay", peer=host.name
@@ -220,14 +220,19 @@
     is_unreached: bool = False
 
 
-def _read_result(last: _relaymessages.RelayReport, body: bytes) -> _Result:
+def _read_result(
+    last: _relaymessages.RelayReport, body: bytes, route: _resources.Route
+) -> _Result:
     """Returns the result that the last report tells.
 
+    Helpers of earlier versions pass on denials.
+
     Raises:
       InputError: The report has no valid outcome.
     """
     if last.answer is not None:
-        return _Result(outcome=last.answer.to_server_answer(body))
+        answer = last.answer.to_server_answer(body)
+        return _Result(outcome=_refusals.withhold_denial(answer, route))
     if last.refusal is None:
         raise base.InputError("no outcome", step="read-relay-report")
     refusal = _calls.Refusal(
--- a/packages/gateway/cowslipvalve_gateway/_servicecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_servicecalls.py
@@ -305,7 +305,7 @@
     def _handle_error(
         self, attempt: _attempts.Attempt, error: base.CowslipvalveError
     ) -> None:
-        if isinstance(error, _errors.MisdirectedError):
+        if isinstance(error, _failures.MISDIRECTIONS):
             attempt.view.is_misdirected = True
         if isinstance(error, _errors.LostAnswerError):
             self.has_run = True
--- a/packages/gateway/cowslipvalve_gateway/_singlecalls.py
+++ b/packages/gateway/cowslipvalve_gateway/_singlecalls.py
@@ -35,7 +35,9 @@
         call.start()
         try:
             await _wait(context, route, call, settled, deadline_ms)
-            outcome = _singleoutcomes.create_outcome(context, request, call)
+            outcome = _singleoutcomes.create_outcome(
+                context, request, route, call
+            )
         finally:
             if not call.is_settled:
                 call.abandon()
--- a/packages/gateway/cowslipvalve_gateway/_singleoutcomes.py
+++ b/packages/gateway/cowslipvalve_gateway/_singleoutcomes.py
@@ -3,12 +3,14 @@
 from cowslipvalve_gateway import _callcontexts
 from cowslipvalve_gateway import _calls
 from cowslipvalve_gateway import _refusals
+from cowslipvalve_gateway import _resources
 from cowslipvalve_gateway import _servicecalls
 
 
 def create_outcome(
     context: _callcontexts.CallContext,
     request: _calls.CallerRequest,
+    route: _resources.Route,
     call: _servicecalls.ServiceCall,
 ) -> _calls.Outcome:
     """Returns the outcome of a call; one that is not settled is too late."""
@@ -17,7 +19,7 @@
             _calls.RefusalReason.TIMEOUT, call.has_run or call.attempts > 0
         )
     if call.answer is not None:
-        return call.answer
+        return _refusals.withhold_denial(call.answer, route)
     wait_ms = call.wait_ms
     if call.reason is _calls.RefusalReason.QUARANTINED:
         wait_ms = context.crashes.compute_remaining_ms(request)
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -12,6 +12,7 @@
 
 RECORD_BYTES = 16
 _MS_PER_S = 1_000.0
+_NOT_RUN = "Not-Executed: 1"
 _PROOF_NUMBERS = itertools.count(1)
 
 
@@ -148,11 +149,11 @@
         request_id = request.headers.get("request-id", "")
         expected = request.headers.get("expect-instance")
         if expected not in (None, self.instance_id):
-            writer.write(_format_answer(421, request_id, "", b"", []))
+            writer.write(_format_answer(421, request_id, "", b"", [_NOT_RUN]))
             return True
         if self.faults.rejects:
             self.rejected += 1
-            extra_headers = ["Not-Executed: 1"]
+            extra_headers = [_NOT_RUN]
             if self.faults.retry_after:
                 extra_headers.append(f"Retry-After: {self.faults.retry_after}")
             writer.write(
