Leave the duties of lost hosts to hosts that are present

Cause, the same one: who watches the store and who judges crashing requests went by the hosts' records, and the record of a host that ends without a drain stays. The last watcher asked only lost ones whether a cut was its own, and reports of ends went to lost hosts alone (crash-report-failed).

Change: watchers, a spare host of each domain and substitutes probe those who have duties; three failures in a row make a host absent, one answer present. The others take over what their source observes. After a minute the first present host of its domain takes the record of a lost one away, which returns its part of all limits; a host that finds its record gone registers again.

Older hosts go by records as before. StateMessage gains `absent`, empty by default.

--- a/packages/gateway/cowslipvalve_gateway/__init__.py
+++ b/packages/gateway/cowslipvalve_gateway/__init__.py
@@ -57,6 +57,10 @@
 from cowslipvalve_gateway._groupplans import GroupPlanner
 from cowslipvalve_gateway._groupplans import ShardGroup
 from cowslipvalve_gateway._groupplans import create_group_planner
+from cowslipvalve_gateway._hostpresences import HostPresence
+from cowslipvalve_gateway._hostpresences import create_host_presence
+from cowslipvalve_gateway._presenceprobes import PresenceProbing
+from cowslipvalve_gateway._presenceprobes import create_presence_probing
 from cowslipvalve_gateway._hosthealth import HostHealth
 from cowslipvalve_gateway._hosthealth import create_host_health
 from cowslipvalve_gateway._hostclients import HostClient
@@ -133,6 +137,9 @@
 from cowslipvalve_gateway._serverclients import ServerProtocol
 from cowslipvalve_gateway._serverclients import ServerClient
 from cowslipvalve_gateway._serverclients import create_server_client
+from cowslipvalve_gateway._servercounts import count_cold
+from cowslipvalve_gateway._servercounts import count_connections
+from cowslipvalve_gateway._servercounts import count_ejected
 from cowslipvalve_gateway._serverlinks import ServerLinks
 from cowslipvalve_gateway._serverlinks import create_server_links
 from cowslipvalve_gateway._callcontexts import CallContext
@@ -193,6 +200,8 @@
     "HolderRanking",
     "HostClient",
     "HostHealth",
+    "HostPresence",
+    "PresenceProbing",
     "HostRecord",
     "HostRefusalReason",
     "HostUnavailableError",
@@ -287,6 +296,8 @@
     "create_holder_ranking",
     "create_host_client",
     "create_host_health",
+    "create_host_presence",
+    "create_presence_probing",
     "create_limit_handler",
     "create_limit_news",
     "create_limit_reader",
@@ -298,6 +309,9 @@
     "create_permit_client",
     "create_quarantine",
     "CanaryPermits",
+    "count_cold",
+    "count_connections",
+    "count_ejected",
     "create_canary_permits",
     "Permit",
     "SuspectEntry",
--- a/packages/gateway/cowslipvalve_gateway/_canarypermits.py
+++ b/packages/gateway/cowslipvalve_gateway/_canarypermits.py
@@ -149,7 +149,7 @@
             )
 
     def _find_giver(self, fingerprint: str) -> str:
-        hosts = {**self._catalog.hosts, self._own.name: self._own}
+        hosts = {**self._catalog.present_hosts, self._own.name: self._own}
         return hosts[base.rank_names(hosts, fingerprint)[0]].state_address
 
 
--- a/packages/gateway/cowslipvalve_gateway/_catalogs.py
+++ b/packages/gateway/cowslipvalve_gateway/_catalogs.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _groupplans
+from cowslipvalve_gateway import _hostpresences
 from cowslipvalve_gateway import _paceshares
 from cowslipvalve_gateway import _pools
 from cowslipvalve_gateway import _resources
@@ -34,6 +35,7 @@
       table: The routing table in force, None until one is known.
       domains_out: The failure domains that receive no requests.
       hosts: The records of the deployment's hosts by name.
+      presence: Which of the hosts are present.
       has_servers: Whether a whole listing of the servers was received.
       own_registered_ms: When this host was added to the hosts, on the process's
         clock; -inf if it was one of them before its start, inf once it has
@@ -51,6 +53,7 @@
         planner: _groupplans.GroupPlanner | None,
         memory: base.AnswerMemory,
         links: _serverlinks.ServerLinks,
+        presence: _hostpresences.HostPresence,
     ) -> None:
         self._clock = clock
         self._memory = memory
@@ -70,6 +73,7 @@
         self._statements = _statementmemories.create_statement_memory(clock)
         self.domains_out: frozenset[str] = frozenset()
         self.hosts: dict[str, _resources.HostRecord] = {}
+        self.presence = presence
         self.has_servers = False
         self.own_registered_ms = -math.inf
         self.shares_version = 0
@@ -99,22 +103,10 @@
         """Returns the number of servers."""
         return len(self._views)
 
-    def count_ejected(self) -> int:
-        """Returns the number of servers that are ejected for failures."""
-        return sum(view.is_ejected for view in self._views.values())
-
-    def count_cold(self) -> int:
-        """Returns the number of servers that are warming up."""
-        return sum(view.is_cold for view in self._views.values())
-
     def count_limited(self) -> int:
         """Returns the number of servers that state a rate limit."""
         return sum(view.rate_limit.is_stated for view in self._views.values())
 
-    def count_connections(self) -> int:
-        """Returns the number of open connections to servers."""
-        return sum(view.pool.open_count for view in self._views.values())
-
     def cold_rate(self, service: str) -> float:
         """Returns this host's share of a cold server's request rate.
 
@@ -160,12 +152,18 @@
         """The number of hosts that share limits; a default while unknown."""
         return len(self.hosts) or _DEFAULT_HOST_COUNT
 
+    @property
+    def present_hosts(self) -> Mapping[str, _resources.HostRecord]:
+        """The records of the hosts that are present, by name."""
+        return self.presence.select_present(self.hosts)
+
     def set_hosts(self, hosts: dict[str, _resources.HostRecord]) -> None:
         """Replaces the hosts of the deployment."""
         old = self.host_count
         if hosts == self.hosts:
             return
         self.hosts = hosts
+        self.presence.retain(hosts)
         self._hosts_ms = self._clock.now_ms()
         base.log_event(_logger, "hosts", old=old, count=self.host_count)
         self._update_shares()
@@ -383,6 +381,7 @@
     planner: _groupplans.GroupPlanner | None = None,
     limits: base.AnswerLimits | None = None,
     links: _serverlinks.ServerLinks | None = None,
+    presence: _hostpresences.HostPresence | None = None,
 ) -> Catalog:
     """Creates an empty catalog.
 
@@ -393,7 +392,9 @@
         all shards itself.
       limits: The limits on servers' answers; None for the defaults.
       links: Follows the links to the servers; None if nobody does.
+      presence: Which hosts are present; None if nobody finds out.
     """
     memory = base.create_answer_memory(limits)
     links = links or _serverlinks.create_server_links(clock)
-    return Catalog(clock, regions, planner, memory, links)
+    presence = presence or _hostpresences.create_host_presence()
+    return Catalog(clock, regions, planner, memory, links, presence)
--- a/packages/gateway/cowslipvalve_gateway/_crashdeliveries.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashdeliveries.py
@@ -47,7 +47,9 @@
                 return  # There is no other host.
             await self._clock.sleep_ms(_UNKNOWN_CHECK_MS)
         report = _age(report, self._clock.now_ms() - taken_ms)
-        addresses = _watcherchoices.choose_first_watchers(self._catalog.hosts)
+        addresses = _watcherchoices.choose_first_watchers(
+            self._catalog.present_hosts
+        )
         addresses.discard(self._own.state_address)
         await asyncio.gather(
             *(self._post(address, report) for address in sorted(addresses))
--- a/packages/gateway/cowslipvalve_gateway/_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashwatches.py
@@ -326,7 +326,9 @@
 
     def _is_first_watcher(self) -> bool:
         """Whether this host gets the reports of all others."""
-        watchers = _watcherchoices.choose_first_watchers(self._catalog.hosts)
+        watchers = _watcherchoices.choose_first_watchers(
+            self._catalog.present_hosts
+        )
         return self._own.state_address in watchers
 
     def _quarantine(
--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -22,10 +22,6 @@
 from cowslipvalve_gateway import _statesources
 from cowslipvalve_gateway import _watchers
 
-# The strictest deployment requires changes to reach all hosts within 3 s. A
-# stale source may go unnoticed for half of that; the other half suffices to
-# find another source and to fetch from it.
-_MAX_FRESH_AGE_MS = 1_500.0
 _LONG_POLL_MS = 500
 _SEED_STARTUP_MS = 600.0  # All hosts of a deployment start within 0.3 s.
 _SEED_RETRY_MS = 60.0
@@ -43,6 +39,8 @@
 # suffices.
 _MAX_WITNESSES = 3
 _REGISTRATION_CHECK_MS = 500.0
+# A new record is known to its host within this time.
+_REGISTRATION_DELAY_MS = 6_000.0
 _FIRST_BACKOFF_MS = 100.0
 _MAX_BACKOFF_MS = 2_000.0
 
@@ -92,18 +90,33 @@
     async def _register(self) -> None:
         """Registers this host, so that the others count and can query it.
 
-        Again whenever the store was restored, which may lack the record.
+        Again whenever the store was restored, which may lack the record, and
+        if the record was taken away, as this host was lost for long.
         """
         if await self._register_once():
             now_ms = self._clock.now_ms()
             self._replica.catalog.own_registered_ms = now_ms
         era = self._replica.log.era
+        known_ms = self._clock.now_ms()
         while not self.should_stop:
             await self._clock.sleep_ms(_REGISTRATION_CHECK_MS)
-            if 0 <= era < self._replica.log.era:
+            hosts = self._replica.catalog.hosts
+            if not hosts or self._own.name in hosts or self._has_left:
+                known_ms = self._clock.now_ms()
+            if self._clock.now_ms() - known_ms >= _REGISTRATION_DELAY_MS:
+                await self._register_again()
+                known_ms = self._clock.now_ms()
+            elif 0 <= era < self._replica.log.era:
                 await self._register_once()
             era = self._replica.log.era
 
+    async def _register_again(self) -> None:
+        """Writes the record that another host has taken away."""
+        base.log_event(_logger, "record-missing", logging.WARNING)
+        if await self._register_once():
+            now_ms = self._clock.now_ms()
+            self._replica.catalog.own_registered_ms = now_ms
+
     async def _register_once(self) -> bool:
         """Writes the record of this host; returns whether there was none."""
         backoff_ms = _FIRST_BACKOFF_MS
@@ -151,10 +164,14 @@
                 await self._clock.sleep_ms(_SOURCE_RETRY_MS)
 
     def _is_watcher(self) -> bool:
-        return self._sources.choice.is_watcher(self._replica.catalog.hosts)
+        return self._sources.choice.is_watcher(
+            self._replica.catalog.present_hosts
+        )
 
     def _near_sources(self) -> list[str]:
-        return self._sources.choice.near_sources(self._replica.catalog.hosts)
+        return self._sources.choice.near_sources(
+            self._replica.catalog.present_hosts
+        )
 
     def _may_wait_for_seeds(self) -> bool:
         """Whether no host is known yet and the seeds may still be starting."""
@@ -197,7 +214,7 @@
     async def _ask_watchers(self) -> list[_replicas.StateMessage]:
         """Returns the messages of some other watchers, without their state."""
         others = self._sources.choice.other_watchers(
-            self._replica.catalog.hosts
+            self._replica.catalog.present_hosts
         )
         chosen = random.sample(others, min(len(others), _MAX_WITNESSES))
         found = await asyncio.gather(*map(self._fetches.fetch_age, chosen))
@@ -213,7 +230,7 @@
             )
             if task.done():
                 task.result()  # Raises the error that ended the watcher.
-            is_stale = self._replica.age_ms > _MAX_FRESH_AGE_MS
+            is_stale = self._replica.age_ms > _statefetches.MAX_FRESH_AGE_MS
             is_watcher = self._is_watcher()
             waited_ms = self._clock.now_ms() - searched_ms
             if not is_stale and (
@@ -233,7 +250,9 @@
         A host without complete state fetches even stale state from another.
         """
         near = self._near_sources()
-        far = self._sources.choice.far_sources(self._replica.catalog.hosts)
+        far = self._sources.choice.far_sources(
+            self._replica.catalog.present_hosts
+        )
         self._near_searched_ms = self._clock.now_ms()
         answers = await self._query_candidates(near, far)
         self._has_stale_watcher = any(
@@ -301,6 +320,7 @@
                 )
                 return
             self._replica.apply_message(message)
+            self._replica.catalog.presence.adopt(message.absent)
             await self._fetches.take_newer(source, message)
             if not _is_fresh(message):
                 base.log_event(
@@ -326,7 +346,9 @@
 
 
 def _is_fresh(message: _replicas.StateMessage) -> bool:
-    return message.is_watching and message.age_ms <= _MAX_FRESH_AGE_MS
+    return (
+        message.is_watching and message.age_ms <= _statefetches.MAX_FRESH_AGE_MS
+    )
 
 
 def create_state_follower(
--- a/packages/gateway/cowslipvalve_gateway/_hosthealth.py
+++ b/packages/gateway/cowslipvalve_gateway/_hosthealth.py
@@ -3,6 +3,7 @@
 import attrs
 
 import cowslipvalve_base as base
+from cowslipvalve_gateway import _hostpresences
 
 _FIRST_SUSPICION_MS = 1_000.0
 # A host that lost power for good costs each request a time-out per period.
@@ -21,15 +22,22 @@
     """Suspects hosts after failures, for longer the more they fail."""
 
     def __init__(
-        self, clock: base.Clock, first_ms: float, max_ms: float
+        self,
+        clock: base.Clock,
+        first_ms: float,
+        max_ms: float,
+        presence: _hostpresences.HostPresence | None,
     ) -> None:
         self._clock = clock
         self._first_ms = first_ms
         self._max_ms = max_ms
+        self._presence = presence
         self._suspicions: dict[str, _Suspicion] = {}
 
     def is_suspect(self, host: str) -> bool:
         """Whether a host is not to be asked for now."""
+        if self._presence is not None and self._presence.is_absent(host):
+            return True
         return self.compute_wait_ms(host) > 0.0
 
     def compute_wait_ms(self, host: str) -> float:
@@ -65,6 +73,7 @@
     clock: base.Clock,
     first_ms: float = _FIRST_SUSPICION_MS,
     max_ms: float = _MAX_SUSPICION_MS,
+    presence: _hostpresences.HostPresence | None = None,
 ) -> HostHealth:
     """Creates the health of hosts, none of which is suspect.
 
@@ -72,5 +81,7 @@
       clock: The clock of the process.
       first_ms: How long a host is suspect after its first failure.
       max_ms: How long it is suspect at most after many failures in a row.
+      presence: Which hosts are present, as absent ones are suspect; None if it
+        is not known.
     """
-    return HostHealth(clock, first_ms, max_ms)
+    return HostHealth(clock, first_ms, max_ms, presence)
--- a/packages/gateway/cowslipvalve_gateway/_replicas.py
+++ b/packages/gateway/cowslipvalve_gateway/_replicas.py
@@ -48,6 +48,8 @@
     reached_ms: float = 0.0
     # The requests that all hosts send to one shard first.
     suspects: tuple[_suspects.SuspectEntry, ...] = ()
+    # The names of the hosts that do not answer the sender.
+    absent: tuple[str, ...] = ()
 
 
 class StateReplica:
@@ -210,6 +212,7 @@
             quarantined=self.quarantine.list_entries(),
             reached_ms=min(self.contact.reached_ms, _MAX_AGE_MS),
             suspects=self.quarantine.suspects.list_entries(),
+            absent=self.catalog.presence.list_absent(),
         )
 
     def _compute_remaining_grace_ms(self) -> float:
--- a/packages/gateway/cowslipvalve_gateway/_statecomparisons.py
+++ b/packages/gateway/cowslipvalve_gateway/_statecomparisons.py
@@ -40,7 +40,7 @@
         settled_ms = float("inf")
         while True:
             catalog = self._replica.catalog
-            others = self._sources.choice.other_watchers(catalog.hosts)
+            others = self._sources.choice.other_watchers(catalog.present_hosts)
             now_ms = self._clock.now_ms()
             if not (
                 self._replica.is_watching and catalog.is_complete and others
--- a/packages/gateway/cowslipvalve_gateway/_statefetches.py
+++ b/packages/gateway/cowslipvalve_gateway/_statefetches.py
@@ -8,6 +8,10 @@
 from cowslipvalve_gateway import _statelogs
 from cowslipvalve_gateway import _statesources
 
+# The strictest deployment requires changes to reach all hosts within 3 s. A
+# stale source may go unnoticed for half of that; the other half suffices to
+# find another source and to fetch from it.
+MAX_FRESH_AGE_MS = 1_500.0
 # The long poll and a round trip between distant regions.
 FETCH_TIMEOUT_MS = 900.0
 AGE_TIMEOUT_MS = 400.0  # A slower host is not a good source.
--- a/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
+++ b/packages/gateway/cowslipvalve_gateway/_watcherchoices.py
@@ -1,6 +1,6 @@
 """Choice of the hosts that watch the store and that the others query."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import cowslipvalve_base as base
 from cowslipvalve_gateway import _resources
@@ -10,18 +10,29 @@
 _FOLLOWERS_PER_WATCHER = 40
 
 
-def choose_watchers(
+def rank_hosts(
     hosts: Mapping[str, _resources.HostRecord], domain: str
 ) -> list[_resources.HostRecord]:
-    """Returns the hosts of a failure domain that are to watch the store."""
+    """Returns the hosts of a domain in the order in which they watch."""
     names = [h.name for h in hosts.values() if h.domain == domain]
-    count = -(-len(names) // _FOLLOWERS_PER_WATCHER)
     return [
-        hosts[name]
-        for name in base.rank_names(names, _WATCHER_RANKING_KEY)[:count]
+        hosts[name] for name in base.rank_names(names, _WATCHER_RANKING_KEY)
     ]
 
 
+def count_watchers(hosts: Collection[_resources.HostRecord]) -> int:
+    """Returns how many of the hosts of a domain are to watch the store."""
+    return -(-len(hosts) // _FOLLOWERS_PER_WATCHER)
+
+
+def choose_watchers(
+    hosts: Mapping[str, _resources.HostRecord], domain: str
+) -> list[_resources.HostRecord]:
+    """Returns the hosts of a failure domain that are to watch the store."""
+    ranked = rank_hosts(hosts, domain)
+    return ranked[: count_watchers(ranked)]
+
+
 def choose_first_watchers(
     hosts: Mapping[str, _resources.HostRecord],
 ) -> set[str]:
