Try again to take away the record of a host that drains

Cause: a draining host called the store once. It goes on for most of its grace period, so it can try again.

--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -74,16 +74,25 @@
         self._has_stale_watcher = False
         self._has_left = False
 
+    @_restarts.restart_on_error
     async def unregister(self) -> None:
-        """Removes this host's record, which frees its share of the limits."""
+        """Removes this host's record, which frees its share of the limits.
+
+        Tries again until the store has answered or the call is cancelled.
+        """
         self._has_left = True
         self._replica.catalog.own_registered_ms = math.inf
-        try:
-            await self._sources.store.unregister_host(self._own.name)
-        except base.PlatformError as error:
-            base.log_event(
-                _logger, "unregister-failed", logging.WARNING, error=error
-            )
+        backoff_ms = _FIRST_BACKOFF_MS
+        while True:
+            try:
+                await self._sources.store.unregister_host(self._own.name)
+                return
+            except base.PlatformError as error:
+                base.log_event(
+                    _logger, "unregister-failed", logging.WARNING, error=error
+                )
+            await self._clock.sleep_ms(backoff_ms)
+            backoff_ms = min(_MAX_BACKOFF_MS, backoff_ms * 2)
 
     @mode.Service.task
     @_restarts.restart_on_error
