Report ends to the next host while a lost judge counts as present

For 3 to 5 s after the first host of a domain was lost, reports of ends to it failed and were dropped, so that its successor began to judge a crashing request without them.

Change: a report that the first host does not take goes to the next one of its domain, two at most.

--- a/packages/gateway/cowslipvalve_gateway/_crashdeliveries.py
+++ b/packages/gateway/cowslipvalve_gateway/_crashdeliveries.py
@@ -17,12 +17,15 @@
 # A host that has just started has learned of the others by then.
 _MAX_UNKNOWN_MS = 3_000.0
 _UNKNOWN_CHECK_MS = 50.0
+# A lost host counts as absent only after seconds. More would cost each report
+# to a domain that is cut off several time-outs.
+_MAX_TRIED = 2
 
 _logger = logging.getLogger(__name__)
 
 
 class CrashDelivery:
-    """Sends the reports of a host to the first watcher of each domain."""
+    """Sends the reports of a host to one host of each domain."""
 
     def __init__(
         self,
@@ -47,20 +50,38 @@
                 return  # There is no other host.
             await self._clock.sleep_ms(_UNKNOWN_CHECK_MS)
         report = _age(report, self._clock.now_ms() - taken_ms)
-        addresses = _watcherchoices.choose_first_watchers(
-            self._catalog.present_hosts
-        )
-        addresses.discard(self._own.state_address)
+        hosts = self._catalog.present_hosts
+        domains = {host.domain for host in hosts.values()}
         await asyncio.gather(
-            *(self._post(address, report) for address in sorted(addresses))
+            *(
+                self._deliver(_watcherchoices.rank_hosts(hosts, domain), report)
+                for domain in sorted(domains)
+            )
         )
 
     def _knows_no_other(self) -> bool:
         return not self._catalog.hosts.keys() - {self._own.name}
 
+    async def _deliver(
+        self,
+        ranked: list[_resources.HostRecord],
+        report: _crashreports.CrashReport,
+    ) -> None:
+        """Sends a report to the first host of a domain that takes it.
+
+        The next one replaces the first if that is lost, and knows then what it
+        was told before.
+        """
+        for host in ranked[:_MAX_TRIED]:
+            if host.name == self._own.name:
+                return  # It has its own reports.
+            if await self._post(host.state_address, report):
+                return
+
     async def _post(
         self, address: str, report: _crashreports.CrashReport
-    ) -> None:
+    ) -> bool:
+        """Sends a report to a host; returns whether it was taken."""
         try:
             found = await self._client.report(
                 address, report, _REPORT_TIMEOUT_MS
@@ -69,9 +90,10 @@
             base.log_event(
                 _logger, "crash-report-failed", logging.WARNING, error=error
             )
-            return
+            return False
         self._quarantine.add_all(found.entries)
         self._quarantine.suspects.add_all(found.suspects)
+        return True
 
 
 def _age(
--- a/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_crashwatches.py
@@ -9,6 +9,7 @@
 import cowslipvalve_gateway as gateway
 from cowslipvalve_gateway import _fingerprints
 from cowslipvalve_gateway import _servers
+from cowslipvalve_gateway import _watcherchoices
 
 _OWN = gateway.HostRecord(name="h0", domain="a", state_address="h0")
 _REQUEST = gateway.CallerRequest(
@@ -35,11 +36,14 @@
 
     def __init__(self) -> None:
         self.reports: dict[str, gateway.CrashReport] = {}
+        self.lost: set[str] = set()
         self.received = asyncio.Event()
 
     async def report(
         self, address: str, report: gateway.CrashReport, _timeout_ms: float
     ) -> gateway.QuarantineList:
+        if address in self.lost:
+            raise gateway.HostUnavailableError("lost", step="report")
         self.reports[address] = report
         self.received.set()
         return gateway.QuarantineList(entries=())
@@ -189,6 +193,25 @@
         self.assertGreaterEqual(ended_ms, 0.0)
         self.assertLess(ended_ms, _UNKNOWN_MS)
 
+    # Guards against reports that go to a lost host alone until it counts as
+    # absent, so that a crashing request is judged seconds later.
+    async def test_end_is_reported_to_the_next_host_if_the_first_is_lost(
+        self,
+    ) -> None:
+        others = {
+            name: gateway.HostRecord(name=name, domain="b", state_address=name)
+            for name in ("h1", "h2", "h3")
+        }
+        self.catalog.set_hosts({"h0": _OWN, **others})
+        ranked = [host.name for host in _watcherchoices.rank_hosts(others, "b")]
+        self.client.lost = {ranked[0]}
+        view, other = self.create_view(), self.create_view(instance_id="i-1")
+        self.listener.close()
+        other.link.record_reach(math.inf, is_connect=True)
+        await self.lose(view)
+        await asyncio.wait_for(self.client.received.wait(), _REPORT_S)
+        self.assertEqual(list(self.client.reports), [ranked[1]])
+
     async def test_answer_to_an_earlier_request_proves_no_link(self) -> None:
         view, other = self.create_view(), self.create_view()
         self.listener.close()
