Count servers that end amid their answers

Cause: a connection that broke was evidence only without a byte of an answer.

Change: any connection that is lost before its answer is complete is checked. A server that only breaks off its answers accepts the check's connection, and is no evidence, as before.

--- a/packages/gateway/cowslipvalve_gateway/_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/_connections.py
@@ -237,9 +237,7 @@
         else:
             self._fail(
                 f"the connection was lost: {exc!r}",
-                _errors.LostAnswerError
-                if self._received_bytes
-                else _errors.BrokenConnectionError,
+                _errors.BrokenConnectionError,
             )
 
     def on_message_begin(self) -> None:
--- a/packages/gateway/cowslipvalve_gateway/_errors.py
+++ b/packages/gateway/cowslipvalve_gateway/_errors.py
@@ -39,7 +39,7 @@
 
 
 class BrokenConnectionError(LostAnswerError):
-    """The connection was lost before any byte of an answer."""
+    """The connection was lost before the answer was complete."""
 
 
 class LinkLostError(LostAnswerError):
--- a/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
+++ b/packages/gateway/cowslipvalve_gateway/tests/test_connections.py
@@ -110,6 +110,25 @@
                 )
                 self.assertEqual(memory.used_bytes, 0)
 
+    async def test_connection_that_is_lost_amid_an_answer_is_broken(
+        self,
+    ) -> None:
+        head = _OK + b"Content-Length: 9\r\n\r\n"
+        chunk = _OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nbe\r\n"
+        for sent in (b"", b"HTTP/1.1 2", _OK, head, head + b"be", chunk):
+            with self.subTest(sent):
+                await self.start(iter([sent]))
+                with self.assertRaises(gateway.BrokenConnectionError):
+                    await self.exchange(gateway.create_answer_memory(_LIMITS))
+
+    async def test_answer_that_is_no_answer_breaks_no_connection(self) -> None:
+        await self.start(iter([b"HTTP/1.1 000 X\r\n\r\n"]))
+        with self.assertRaises(gateway.LostAnswerError) as caught:
+            await self.exchange(gateway.create_answer_memory(_LIMITS))
+        self.assertNotIsInstance(
+            caught.exception, gateway.BrokenConnectionError
+        )
+
     async def test_few_answers_to_other_requests_are_read(self) -> None:
         # Each one up to the limit of bytes was parsed in the same turn.
         await self.start(iter([_OTHER_ANSWER * 5_000]))
--- a/standins/cowslipvalve_standins/_crashingservers.py
+++ b/standins/cowslipvalve_standins/_crashingservers.py
@@ -23,6 +23,7 @@
         test: _wiredeployments.WireTest,
         restart_s: float,
         crash_bodies: tuple[bytes, ...] = (CRASH_BODY,),
+        begins_answers: bool = False,
     ) -> None:
         """Creates no server yet.
 
@@ -30,10 +31,13 @@
           test: The test whose store the servers are registered in.
           restart_s: After how many s another server replaces one that ended.
           crash_bodies: The bodies that end a server.
+          begins_answers: Whether a server sends the beginning of an answer
+            before it ends.
         """
         self._test = test
         self._restart_s = restart_s
         self._crash_bodies = crash_bodies
+        self._begins_answers = begins_answers
         self._restarts: list[asyncio.Task[None]] = []
         self._numbers = itertools.count()
         self.servers: list[_wireserver.WireServer] = []
@@ -49,6 +53,7 @@
         )
         server.faults.work_ms = _WORK_MS
         server.faults.crash_bodies = self._crash_bodies
+        server.faults.begins_answers = self._begins_answers
         self.servers.append(server)
         self._restarts.append(
             asyncio.create_task(self._replace_once_ended(server, service, zone))
@@ -109,6 +114,7 @@
     test: _wiredeployments.WireTest,
     restart_s: float,
     crash_bodies: tuple[bytes, ...] = (CRASH_BODY,),
+    begins_answers: bool = False,
 ) -> CrashingServers:
     """Creates the servers of a test; none is started.
 
@@ -116,5 +122,7 @@
       test: The test whose store the servers are registered in.
       restart_s: After how many s another server replaces one that ended.
       crash_bodies: The bodies that end a server.
+      begins_answers: Whether a server sends the beginning of an answer before
+        it ends.
     """
-    return CrashingServers(test, restart_s, crash_bodies)
+    return CrashingServers(test, restart_s, crash_bodies, begins_answers)
--- a/standins/cowslipvalve_standins/_wireserver.py
+++ b/standins/cowslipvalve_standins/_wireserver.py
@@ -47,6 +47,8 @@
     retry_after: str = ""
     # The bodies that end the server as soon as it begins to run one.
     crash_bodies: tuple[bytes, ...] = ()
+    # Sends the beginning of an answer before a crash body ends the server.
+    begins_answers: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -162,6 +164,9 @@
             return True
         self.executed_requests.append(request)
         if request.body in self.faults.crash_bodies:
+            if self.faults.begins_answers:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbe")
+                await writer.drain()
             self.crash()
             return False
         if not await self._simulate_work(reader, request_id):
