Register a host in one place

Cause: _register and the step that writes a missing record again each set the time of the registration by themselves.

Change: _register_anew serves both; behaviour is unchanged.

--- a/packages/gateway/cowslipvalve_gateway/_followers.py
+++ b/packages/gateway/cowslipvalve_gateway/_followers.py
@@ -102,9 +102,7 @@
         Again whenever the store was restored, which may lack the record, and
         if the record was taken away, as this host was lost for long.
         """
-        if await self._register_once():
-            now_ms = self._clock.now_ms()
-            self._replica.catalog.own_registered_ms = now_ms
+        await self._register_anew()
         era = self._replica.log.era
         known_ms = self._clock.now_ms()
         while not self.should_stop:
@@ -113,15 +111,15 @@
             if not hosts or self._own.name in hosts or self._has_left:
                 known_ms = self._clock.now_ms()
             if self._clock.now_ms() - known_ms >= _REGISTRATION_DELAY_MS:
-                await self._register_again()
+                base.log_event(_logger, "record-missing", logging.WARNING)
+                await self._register_anew()
                 known_ms = self._clock.now_ms()
             elif 0 <= era < self._replica.log.era:
                 await self._register_once()
             era = self._replica.log.era
 
-    async def _register_again(self) -> None:
-        """Writes the record that another host has taken away."""
-        base.log_event(_logger, "record-missing", logging.WARNING)
+    async def _register_anew(self) -> None:
+        """Writes the record of this host, which the others may not count."""
         if await self._register_once():
             now_ms = self._clock.now_ms()
             self._replica.catalog.own_registered_ms = now_ms
